--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,99 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import tsdoc from 'eslint-plugin-tsdoc';
+
+export default [
+  { ignores: ['dist/**', 'node_modules/**', 'bench/results/**', 'test/fixtures/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: process.cwd() },
+    },
+    plugins: { tsdoc },
+    rules: {
+      'tsdoc/syntax': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-non-null-assertion': 'error',
+      '@typescript-eslint/prefer-readonly': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      'max-lines-per-function': ['error', { max: 70, skipBlankLines: true, skipComments: true }],
+      'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: ['src/core/**/*.ts'],
+    rules: {
+      // Decisions stay apart from sockets and from the encoding of messages.
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/runtime/**', '**/cli/**'],
+              message: 'core must not import runtime or cli',
+            },
+            {
+              group: ['ws', 'undici', 'hono', 'msgpackr', 'node:http', 'node:net'],
+              message: 'sockets and codecs belong in src/runtime',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/*.ts', '**/*.mjs'],
+    rules: {
+      // Exhaustive switches take the place of a default branch, and the compiler checks the returns.
+      'consistent-return': 'off',
+      'default-case': 'off',
+      // One concept per file is the layout; several small exports may describe it.
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-rename-default': 'off',
+      'class-methods-use-this': 'off',
+      // Private members are `#name`; ES2022 targets run for-of natively.
+      'no-restricted-syntax': 'off',
+      'no-continue': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
+      'n/no-process-exit': 'off',
+    },
+  },
+  {
+    files: [
+      'test/**/*.ts',
+      'bench/**/*.ts',
+      'soak/**/*.ts',
+      'standin/**/*.ts',
+      'demo/**/*.ts',
+      'scripts/**',
+      '*.mjs',
+    ],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'max-lines-per-function': 'off',
+      'no-console': 'off',
+      'no-await-in-loop': 'off',
+      // node:test returns a promise that the runner itself awaits.
+      '@typescript-eslint/no-floating-promises': 'off',
+    },
+  },
+  {
+    // The registry is one table on purpose.
+    files: ['src/core/errors/registry.ts'],
+    rules: { 'max-lines': 'off' },
+  },
+];
--- /dev/null
+++ b/src/core/model/peer-message.ts
@@ -0,0 +1,80 @@
+import type { Answer, Call } from './call.js';
+import type { Delta, Document, DocumentHead, Topic } from './document.js';
+import type { Mark } from './mark.js';
+import type { AccountName, Incarnation, RequestId } from './names.js';
+import type { Instant, Milliseconds } from './time.js';
+
+/** Request for tokens of an account, sent to the holder of a seat. */
+export interface Draw {
+  readonly kind: 'draw';
+  readonly drawId: number;
+  readonly account: AccountName;
+  readonly want: number;
+}
+
+/** Tokens given to an entry; already debited at the holder. */
+export interface Grant {
+  readonly kind: 'grant';
+  readonly drawId: number;
+  readonly account: AccountName;
+  readonly tokens: number;
+  /** Time until the holder expects a whole token when it gave none. */
+  readonly retryAfterMs: Milliseconds;
+}
+
+/** Report that a grant is used up: what was spent and what comes back. */
+export interface Settlement {
+  readonly kind: 'settlement';
+  readonly drawId: number;
+  readonly account: AccountName;
+  readonly spent: number;
+  readonly returned: number;
+}
+
+/** Heartbeat; the echo of the sender's clock bounds the offset between both clocks. */
+export interface Ping {
+  readonly kind: 'ping';
+  readonly sentAt: Instant;
+  readonly heads: readonly DocumentHead[];
+  /** Time since any node was known to have read the configuration service. */
+  readonly serviceAgeMs: Milliseconds;
+}
+
+/** Reply to a heartbeat. */
+export interface Pong {
+  readonly kind: 'pong';
+  readonly echoedSentAt: Instant;
+  readonly receivedAt: Instant;
+}
+
+/** An order request on its way to the node that remembers the order. */
+export interface OrderCall {
+  readonly kind: 'order-call';
+  readonly orderId: string;
+  readonly call: Call;
+}
+
+/** All messages between two nodes after the handshake. */
+export type PeerMessage =
+  | Ping
+  | Pong
+  | { readonly kind: 'call'; readonly call: Call }
+  | OrderCall
+  | { readonly kind: 'answer'; readonly answer: Answer }
+  | { readonly kind: 'cancel'; readonly requestId: RequestId }
+  | { readonly kind: 'announce'; readonly head: DocumentHead; readonly serviceAgeMs: Milliseconds }
+  | { readonly kind: 'pull'; readonly topic: Topic; readonly haveDigest: string | null }
+  | { readonly kind: 'delta'; readonly delta: Delta }
+  | { readonly kind: 'document'; readonly document: Document }
+  | Draw
+  | Grant
+  | Settlement
+  | { readonly kind: 'marks'; readonly marks: readonly Mark[] }
+  | { readonly kind: 'incarnations'; readonly seen: readonly SeatIncarnation[] }
+  | { readonly kind: 'leaving'; readonly forMs: Milliseconds };
+
+/** The newest incarnation known of a seat's holder. */
+export interface SeatIncarnation {
+  readonly seat: string;
+  readonly incarnation: Incarnation;
+}
--- /dev/null
+++ b/src/core/order/order-message.ts
@@ -0,0 +1,34 @@
+import type { CodeName } from '../errors/registry.js';
+import type { Outcome } from '../model/call.js';
+import type { RequestId } from '../model/names.js';
+import type { Violation } from '../promises/violation.js';
+
+/** Messages to the ledger of orders of which this node is the home. */
+export type OrderMessage =
+  /** A request came with an identifier that was verified and names this incarnation. */
+  | {
+      readonly kind: 'begin';
+      readonly orderId: string;
+      /** Time since the identifier was issued. */
+      readonly ageMs: number;
+      readonly fingerprint: string;
+      readonly requestId: RequestId;
+    }
+  /** The run of an order ended. A refusal means that it certainly did not run. */
+  | {
+      readonly kind: 'settled';
+      readonly orderId: string;
+      readonly requestId: RequestId;
+      readonly outcome: Outcome;
+    }
+  /** A waiting request went away. */
+  | { readonly kind: 'abandoned'; readonly orderId: string; readonly requestId: RequestId }
+  | { readonly kind: 'tick' };
+
+/** What the ledger asks its task to do. */
+export type OrderEffect =
+  /** Run the order now; this request carries it. */
+  | { readonly kind: 'run'; readonly orderId: string; readonly requestId: RequestId }
+  | { readonly kind: 'answer'; readonly requestId: RequestId; readonly outcome: Outcome }
+  | { readonly kind: 'reject'; readonly requestId: RequestId; readonly code: CodeName }
+  | Violation;
--- /dev/null
+++ b/src/core/promises/violation.ts
@@ -0,0 +1,44 @@
+/** The promises of section 1.1 of the design page, each asserted inside the program. */
+export const PROMISES = [
+  'retry-bound',
+  'importance-order',
+  'own-account',
+  'key-hidden',
+  'key-withdrawn',
+  'rate-bound',
+  'cold-start',
+  'zone-out',
+  'own-answer',
+  'not-run',
+  'at-most-once',
+  'leaving',
+  'graceful-stop',
+  'configuration-order',
+] as const;
+
+/** Name of a promise. */
+export type PromiseName = (typeof PROMISES)[number];
+
+/** Effect of a decision whose assertion of a promise failed. */
+export interface Violation {
+  readonly kind: 'violation';
+  readonly promise: PromiseName;
+  /** What was expected and what was seen. */
+  readonly detail: string;
+}
+
+/**
+ * Asserts a promise.
+ *
+ * @param promise - the promise that must hold
+ * @param holds - whether it holds
+ * @param detail - builds the text for the log line; called only on failure
+ * @returns no effect when the promise holds, one violation otherwise
+ */
+export function assertPromise(
+  promise: PromiseName,
+  holds: boolean,
+  detail: () => string,
+): readonly Violation[] {
+  return holds ? [] : [{ kind: 'violation', promise, detail: detail() }];
+}
