--- /dev/null
+++ b/src/core/membership/handshake.ts
@@ -0,0 +1,138 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import type { BackendServerName, Incarnation, ZoneName } from '../model/names.js';
+
+/** Version of the peer protocol; nodes with another version are refused. */
+export const PEER_PROTOCOL_VERSION = 1;
+
+/** Who a node says that it is. */
+export interface Identity {
+  readonly node: BackendServerName;
+  readonly zone: ZoneName;
+  readonly incarnation: Incarnation;
+}
+
+/** First message of the node that opens the link. */
+export interface Hello {
+  readonly kind: 'hello';
+  readonly version: number;
+  readonly identity: Identity;
+  readonly nonce: string;
+}
+
+/** Reply to a hello; proves that the listener knows the fleet's secret. */
+export interface Challenge {
+  readonly kind: 'challenge';
+  readonly identity: Identity;
+  readonly nonce: string;
+  readonly proof: string;
+}
+
+/** Last message; proves that the opener knows the fleet's secret. */
+export interface Proof {
+  readonly kind: 'proof';
+  readonly proof: string;
+}
+
+/** Messages before a link is open. */
+export type HandshakeMessage = Hello | Challenge | Proof;
+
+/** What both proofs are computed over. */
+interface Transcript {
+  readonly opener: Identity;
+  readonly openerNonce: string;
+  readonly listener: Identity;
+  readonly listenerNonce: string;
+}
+
+type Role = 'opener' | 'listener';
+
+function proofOf(role: Role, transcript: Transcript, secret: string): string {
+  const { opener, openerNonce, listener, listenerNonce } = transcript;
+  // The role is part of the text, so that a proof cannot be reflected to its sender.
+  const text = JSON.stringify([
+    PEER_PROTOCOL_VERSION,
+    role,
+    [opener.node, opener.zone, opener.incarnation, openerNonce],
+    [listener.node, listener.zone, listener.incarnation, listenerNonce],
+  ]);
+  return createHmac('sha256', secret).update(text).digest('base64url');
+}
+
+function isEqual(left: string, right: string): boolean {
+  const a = Buffer.from(left);
+  const b = Buffer.from(right);
+  return a.length === b.length && timingSafeEqual(a, b);
+}
+
+/** State of the listener between its challenge and the opener's proof. */
+export interface Challenged {
+  readonly challenge: Challenge;
+  readonly transcript: Transcript;
+}
+
+/**
+ * Answers a hello with a challenge.
+ *
+ * @param options - the hello, the own identity, a fresh nonce and the fleet's secret
+ * @returns the challenge to send, or the reason for refusing the peer
+ */
+export function challengeHello(options: {
+  readonly hello: Hello;
+  readonly identity: Identity;
+  readonly nonce: string;
+  readonly secret: string;
+}): Result<Challenged, string> {
+  const { hello, identity, nonce, secret } = options;
+  if (hello.version !== PEER_PROTOCOL_VERSION) {
+    return err(`protocol version ${hello.version}, expected ${PEER_PROTOCOL_VERSION}`);
+  }
+  const transcript: Transcript = {
+    opener: hello.identity,
+    openerNonce: hello.nonce,
+    listener: identity,
+    listenerNonce: nonce,
+  };
+  const proof = proofOf('listener', transcript, secret);
+  return ok({ challenge: { kind: 'challenge', identity, nonce, proof }, transcript });
+}
+
+/**
+ * Checks the listener's proof and builds the opener's own.
+ *
+ * @param options - the hello that was sent, the challenge received and the fleet's secret
+ * @returns the proof to send, or the reason for refusing the peer
+ */
+export function proveChallenge(options: {
+  readonly hello: Hello;
+  readonly challenge: Challenge;
+  readonly secret: string;
+}): Result<Proof, string> {
+  const { hello, challenge, secret } = options;
+  const transcript: Transcript = {
+    opener: hello.identity,
+    openerNonce: hello.nonce,
+    listener: challenge.identity,
+    listenerNonce: challenge.nonce,
+  };
+  return isEqual(challenge.proof, proofOf('listener', transcript, secret))
+    ? ok({ kind: 'proof', proof: proofOf('opener', transcript, secret) })
+    : err('the listener does not know the secret of the fleet');
+}
+
+/**
+ * Checks the opener's proof.
+ *
+ * @param options - the state after the challenge, the proof received and the fleet's secret
+ * @returns the proven identity of the opener, or the reason for refusing the peer
+ */
+export function verifyProof(options: {
+  readonly challenged: Challenged;
+  readonly proof: Proof;
+  readonly secret: string;
+}): Result<Identity, string> {
+  const { challenged, proof, secret } = options;
+  return isEqual(proof.proof, proofOf('opener', challenged.transcript, secret))
+    ? ok(challenged.transcript.opener)
+    : err('the opener does not know the secret of the fleet');
+}
--- /dev/null
+++ b/src/core/pipeline/next-attempt.ts
@@ -0,0 +1,80 @@
+import type { Answer, Call, Outcome } from '../model/call.js';
+import type { BackendServerName } from '../model/names.js';
+import type { Instant, Milliseconds } from '../model/time.js';
+
+/** What one send of a call brought. */
+export type Attempt =
+  /** The gate replied. */
+  | { readonly kind: 'replied'; readonly answer: Answer }
+  /** The call could not be handed to the link, so nothing was sent. */
+  | { readonly kind: 'unsent' }
+  /** The link was lost, or the deadline passed, while the call was with the gate. */
+  | { readonly kind: 'lost'; readonly code: 'linkLost' | 'deadlinePassed' };
+
+/** How sending goes on after an attempt. */
+export type NextAttempt =
+  | { readonly kind: 'finish'; readonly outcome: Outcome }
+  | { readonly kind: 'send-again'; readonly excluded: BackendServerName };
+
+/** What is known when an attempt has ended. */
+export interface AttemptReview {
+  readonly call: Call;
+  readonly backendServer: BackendServerName;
+  readonly attempt: Attempt;
+  /** Extra sends that are left for this call. */
+  readonly retriesLeft: number;
+  readonly now: Instant;
+}
+
+/** A further send makes no sense with less time than this before the deadline. */
+const MIN_ATTEMPT_MS: Milliseconds = 5;
+
+const SERVICE_UNAVAILABLE = 503;
+
+/** Another gate cannot help when the refusal is about the call and not about the gate. */
+function isWorthAnotherGate(code: string): boolean {
+  return code !== 'quarantined' && code !== 'deadlineUnreachable' && code !== 'cancelled';
+}
+
+function outcomeOf(attempt: Attempt): Outcome {
+  switch (attempt.kind) {
+    case 'replied':
+      return attempt.answer.outcome;
+    case 'unsent':
+      return { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 };
+    case 'lost':
+      return { kind: 'failed', code: attempt.code };
+  }
+}
+
+function mayRunAgain(call: Call, outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case 'refused':
+      return isWorthAnotherGate(outcome.code);
+    case 'failed':
+      // A call that was seen running at two crashes would take down a third backend server.
+      return (
+        call.idempotent && outcome.code !== 'deadlinePassed' && outcome.code !== 'serverCrashed'
+      );
+    case 'answered':
+      return call.idempotent && outcome.status === SERVICE_UNAVAILABLE;
+  }
+}
+
+/**
+ * Decides whether a call is sent to another gate. A refusal did not run, so any call may go
+ * elsewhere; whatever may have run is repeated only when it is idempotent. Each further send
+ * costs one retry of the root request.
+ *
+ * @param review - the call, its last attempt and what is left
+ * @returns to finish with an outcome, or to send again without the backend server just tried
+ */
+export function nextAttempt(review: AttemptReview): NextAttempt {
+  const { call, attempt, retriesLeft, now } = review;
+  const outcome = outcomeOf(attempt);
+  const hasTime = now + MIN_ATTEMPT_MS < call.deadline;
+  if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome)) {
+    return { kind: 'send-again', excluded: review.backendServer };
+  }
+  return { kind: 'finish', outcome };
+}
--- /dev/null
+++ b/src/runtime/peer-socket.ts
@@ -0,0 +1,199 @@
+import { randomBytes } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import type { RawData, WebSocket } from 'ws';
+import {
+  challengeHello,
+  PEER_PROTOCOL_VERSION,
+  proveChallenge,
+  verifyProof,
+  type Challenged,
+  type HandshakeMessage,
+  type Hello,
+  type Identity,
+} from '../core/membership/handshake.js';
+import type { PeerMessage } from '../core/model/peer-message.js';
+import { decodeFrame, encodeFrame, type Frame } from './frame-codec.js';
+
+/** What a socket tells its owner. */
+export type SocketEvent =
+  | { readonly kind: 'opened'; readonly identity: Identity }
+  | { readonly kind: 'message'; readonly message: PeerMessage }
+  | { readonly kind: 'frame-invalid'; readonly reason: string }
+  | { readonly kind: 'unproven'; readonly reason: string }
+  | { readonly kind: 'closed' };
+
+/** What both ends of a socket need. */
+export interface PeerSocketOptions {
+  readonly socket: WebSocket;
+  readonly identity: Identity;
+  readonly secret: string;
+  readonly onEvent: (event: SocketEvent) => void;
+}
+
+type Stage =
+  | { readonly kind: 'awaiting-challenge'; readonly hello: Hello }
+  | { readonly kind: 'awaiting-hello' }
+  | { readonly kind: 'awaiting-proof'; readonly challenged: Challenged }
+  | { readonly kind: 'open' }
+  | { readonly kind: 'closed' };
+
+/** A peer that has not proven itself by then is cut off, so that it holds no resources. */
+const HANDSHAKE_TIMEOUT_MS = 2000;
+const NONCE_BYTES = 18;
+
+function newNonce(): string {
+  return randomBytes(NONCE_BYTES).toString('base64url');
+}
+
+function toBytes(data: RawData): Uint8Array {
+  if (Array.isArray(data)) return Buffer.concat(data);
+  return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+}
+
+function isHandshake(frame: Frame): frame is HandshakeMessage {
+  return frame.kind === 'hello' || frame.kind === 'challenge' || frame.kind === 'proof';
+}
+
+/** A WebSocket to another node that carries messages only after both ends proved themselves. */
+export class PeerSocket {
+  readonly #options: PeerSocketOptions;
+
+  readonly #handshakeTimer: NodeJS.Timeout;
+
+  #stage: Stage;
+
+  /**
+   * @param options - the socket, the own identity, the fleet's secret and the owner's handler
+   * @param role - whether this end opened the connection
+   */
+  constructor(options: PeerSocketOptions, role: 'opener' | 'listener') {
+    this.#options = options;
+    const { socket } = options;
+    socket.on('message', (data) => this.#receive(toBytes(data)));
+    socket.on('close', () => this.#closed());
+    // Errors of a socket are always followed by its close event.
+    socket.on('error', () => {});
+    this.#stage = role === 'listener' ? { kind: 'awaiting-hello' } : this.#sayHello();
+    this.#handshakeTimer = setTimeout(() => {
+      this.#refuse('handshake timed out');
+    }, HANDSHAKE_TIMEOUT_MS);
+  }
+
+  /**
+   * Sends a message to the peer.
+   *
+   * @param message - the message
+   * @returns false when the socket is not open, so that nothing was sent
+   */
+  send(message: PeerMessage): boolean {
+    const { socket } = this.#options;
+    if (this.#stage.kind !== 'open' || socket.readyState !== socket.OPEN) return false;
+    socket.send(encodeFrame(message));
+    return true;
+  }
+
+  /** Closes the connection in order. */
+  close(): void {
+    this.#options.socket.close();
+  }
+
+  /** Cuts the connection at once, for a peer that no longer answers. */
+  terminate(): void {
+    this.#options.socket.terminate();
+  }
+
+  #sayHello(): Stage {
+    const { socket, identity } = this.#options;
+    const hello: Hello = {
+      kind: 'hello',
+      version: PEER_PROTOCOL_VERSION,
+      identity,
+      nonce: newNonce(),
+    };
+    socket.once('open', () => socket.send(encodeFrame(hello)));
+    return { kind: 'awaiting-challenge', hello };
+  }
+
+  #receive(data: Uint8Array): void {
+    decodeFrame(data).match(
+      (frame) => this.#handle(frame),
+      (reason) => this.#options.onEvent({ kind: 'frame-invalid', reason }),
+    );
+  }
+
+  #handle(frame: Frame): void {
+    if (this.#stage.kind === 'open') {
+      if (!isHandshake(frame)) this.#options.onEvent({ kind: 'message', message: frame });
+      return;
+    }
+    if (!isHandshake(frame)) {
+      this.#refuse(`${frame.kind} before the handshake`);
+      return;
+    }
+    this.#advance(frame).match(
+      (stage) => {
+        this.#stage = stage;
+      },
+      (reason) => this.#refuse(reason),
+    );
+  }
+
+  #advance(message: HandshakeMessage): Result<Stage, string> {
+    const stage = this.#stage;
+    switch (stage.kind) {
+      case 'awaiting-hello':
+        return message.kind === 'hello' ? this.#challenge(message) : err('expected hello');
+      case 'awaiting-challenge':
+        return message.kind === 'challenge'
+          ? proveChallenge({
+              hello: stage.hello,
+              challenge: message,
+              secret: this.#options.secret,
+            }).map((proof) => {
+              this.#options.socket.send(encodeFrame(proof));
+              return this.#open(message.identity);
+            })
+          : err('expected challenge');
+      case 'awaiting-proof':
+        return message.kind === 'proof'
+          ? verifyProof({
+              challenged: stage.challenged,
+              proof: message,
+              secret: this.#options.secret,
+            }).map((identity) => this.#open(identity))
+          : err('expected proof');
+      case 'open':
+      case 'closed':
+        return ok(stage);
+    }
+  }
+
+  #challenge(hello: Hello): Result<Stage, string> {
+    const { identity, secret, socket } = this.#options;
+    return challengeHello({ hello, identity, nonce: newNonce(), secret }).map((challenged) => {
+      socket.send(encodeFrame(challenged.challenge));
+      return { kind: 'awaiting-proof', challenged };
+    });
+  }
+
+  #open(identity: Identity): Stage {
+    clearTimeout(this.#handshakeTimer);
+    // The stage must be open before the owner reacts to the event by sending.
+    this.#stage = { kind: 'open' };
+    this.#options.onEvent({ kind: 'opened', identity });
+    return { kind: 'open' };
+  }
+
+  #refuse(reason: string): void {
+    if (this.#stage.kind === 'open' || this.#stage.kind === 'closed') return;
+    this.#options.onEvent({ kind: 'unproven', reason });
+    this.#options.socket.terminate();
+  }
+
+  #closed(): void {
+    clearTimeout(this.#handshakeTimer);
+    if (this.#stage.kind === 'closed') return;
+    this.#stage = { kind: 'closed' };
+    this.#options.onEvent({ kind: 'closed' });
+  }
+}
--- /dev/null
+++ b/src/runtime/service-client.ts
@@ -0,0 +1,144 @@
+import { err, ok, Result, ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+import { formatFault, type Fault } from '../core/errors/fault.js';
+import { openBundle } from '../core/configuration/bundle.js';
+import type { Document, Topic } from '../core/model/document.js';
+import { readHostList } from './host-list.js';
+
+/** What a read or a watch of the configuration service brought. */
+export type ServiceReply =
+  | { readonly kind: 'value'; readonly topic: Topic; readonly document: Document }
+  | { readonly kind: 'unchanged'; readonly topic: Topic }
+  | { readonly kind: 'failed'; readonly topic: Topic; readonly reason: string };
+
+interface ServiceValue {
+  readonly etag: string;
+  readonly text: string;
+}
+
+const READ_TIMEOUT_MS = 1500;
+const WATCH_WAIT_MS = 20_000;
+const MAX_VALUE_BYTES = 1_000_000;
+
+function valueName(topic: Topic): string {
+  return topic === 'configuration' ? 'configuration/manifest' : topic;
+}
+
+function faultText(faults: readonly Fault[]): string {
+  return faults.map(formatFault).join('; ');
+}
+
+/** Client of the configuration service, which can only be read and watched. */
+export class ServiceClient {
+  readonly #urls: readonly string[];
+
+  readonly #onReply: (reply: ServiceReply) => void;
+
+  /** Version tag of the last value by topic, from which a watch goes on. */
+  readonly #etags = new Map<Topic, string>();
+
+  readonly #stop = new AbortController();
+
+  /**
+   * @param urls - base URLs of the service, tried in order
+   * @param onReply - receives one reply for each read and each watch
+   */
+  constructor(urls: readonly string[], onReply: (reply: ServiceReply) => void) {
+    this.#urls = urls;
+    this.#onReply = onReply;
+  }
+
+  /**
+   * Reads the current value of a topic.
+   *
+   * @param topic - what to read
+   */
+  read(topic: Topic): void {
+    void this.#fetchDocument(topic, `/v1/values/${valueName(topic)}`, READ_TIMEOUT_MS);
+  }
+
+  /**
+   * Waits for a value that differs from the last one read.
+   *
+   * @param topic - what to watch
+   */
+  watch(topic: Topic): void {
+    const after = encodeURIComponent(this.#etags.get(topic) ?? '');
+    const path = `/v1/watch/${valueName(topic)}?after=${after}&wait_ms=${WATCH_WAIT_MS}`;
+    void this.#fetchDocument(topic, path, WATCH_WAIT_MS + READ_TIMEOUT_MS);
+  }
+
+  /** Ends all reads and watches. */
+  close(): void {
+    this.#stop.abort();
+  }
+
+  async #fetchDocument(topic: Topic, path: string, timeoutMs: number): Promise<void> {
+    const reply = await this.#get(path, timeoutMs)
+      .andThen((value) => (value === null ? ok(null) : this.#toDocument(topic, value)))
+      .match(
+        (document): ServiceReply =>
+          document === null ? { kind: 'unchanged', topic } : { kind: 'value', topic, document },
+        (reason): ServiceReply => ({ kind: 'failed', topic, reason }),
+      );
+    if (!this.#stop.signal.aborted) this.#onReply(reply);
+  }
+
+  #toDocument(topic: Topic, value: ServiceValue): ResultAsync<Document, string> {
+    const document =
+      topic === 'configuration'
+        ? this.#openConfiguration(value.text)
+        : readHostList(topic, value.text).asyncMap(async (list) => list);
+    return document.map((opened) => {
+      this.#etags.set(topic, value.etag);
+      return opened;
+    });
+  }
+
+  #openConfiguration(manifestText: string): ResultAsync<Document, string> {
+    return this.#readParts(manifestText).andThen((parts) =>
+      openBundle(manifestText, parts).mapErr(faultText),
+    );
+  }
+
+  #readParts(manifestText: string): ResultAsync<ReadonlyMap<string, string>, string> {
+    const digests = [...manifestText.matchAll(/"digest":\s*"([0-9a-f]{64})"/g)].flatMap(
+      ([, digest]) => (digest === undefined ? [] : [digest]),
+    );
+    const reads = digests.map((digest) =>
+      this.#get(`/v1/values/configuration/parts/${digest}`, READ_TIMEOUT_MS).map(
+        (value): readonly [string, string] => [digest, value?.text ?? ''],
+      ),
+    );
+    return ResultAsync.combine(reads).map((pairs) => new Map(pairs));
+  }
+
+  #get(path: string, timeoutMs: number): ResultAsync<ServiceValue | null, string> {
+    return new ResultAsync(this.#tryInOrder(path, timeoutMs));
+  }
+
+  async #tryInOrder(path: string, timeoutMs: number): Promise<Result<ServiceValue | null, string>> {
+    let last: Result<ServiceValue | null, string> = err('no URL of the service is configured');
+    for (const url of this.#urls) {
+      // Each URL is a replica of the same service; asking all at once would multiply its load.
+      // eslint-disable-next-line no-await-in-loop
+      last = await this.#getFrom(url + path, timeoutMs);
+      if (last.isOk()) return last;
+    }
+    return last;
+  }
+
+  async #getFrom(url: string, timeoutMs: number): Promise<Result<ServiceValue | null, string>> {
+    try {
+      const signal = AbortSignal.any([this.#stop.signal, AbortSignal.timeout(timeoutMs)]);
+      const { statusCode, headers, body } = await request(url, { signal });
+      const text = await body.text();
+      if (statusCode === 304) return ok(null);
+      if (statusCode !== 200) return err(`status ${statusCode} for ${url}`);
+      if (text.length > MAX_VALUE_BYTES) return err(`value over ${MAX_VALUE_BYTES} bytes`);
+      return ok({ etag: String(headers['etag'] ?? ''), text });
+    } catch (error) {
+      return err(error instanceof Error ? error.message : String(error));
+    }
+  }
+}
