Add the decisions of the gate, of early refusal and of the retry budget

Cause: admission, pressure and retry had message unions and no decisions. Change: adaptive limit, warm-up, call queue, rate allocation and admit fractions behind decideGate; admit fractions at the entry; ledger of running calls; retry budget of callers. The gate gains the message weights-configured.

--- /dev/null
+++ b/src/core/admission/concurrency-limit.ts
@@ -0,0 +1,197 @@
+import type { Instant, Milliseconds } from '../model/time.js';
+
+/** Decrease after an interval in which the backend server shed calls. */
+const SHED_FACTOR = 0.85;
+
+/** Decrease while the own latency is too high. */
+const SLOW_FACTOR = 0.8;
+
+/** Own latency above this multiple of the baseline suggests that the server is overcommitted. */
+const SLOW_RATIO = 2;
+
+/** A lower limit has helped when the latency fell at least to this share of what it was. */
+const HELPED_RATIO = 0.9;
+
+/** Growth for each interval in which the limit was reached. */
+const GROWTH_RATIO = 0.05;
+
+const BASELINE_FALL_SHARE = 0.3;
+
+/** The baseline follows a lasting rise slowly, so that creeping overload stays visible. */
+const BASELINE_RISE_SHARE = 0.01;
+
+/** Shortest time until the effect of a lower limit is judged. */
+const TRIAL_MS = 200;
+
+/** Load endpoints lag, so what they said holds only this long. */
+const HINT_LIFETIME_MS = 1_000;
+
+/** Load endpoints mislead, so a hint takes away at most half of the limit. */
+const HINT_SHARE = 0.5;
+
+/** A decrease whose effect is still to be judged. */
+interface Trial {
+  readonly limitBefore: number;
+  readonly latencyBeforeMs: Milliseconds;
+  readonly until: Instant;
+}
+
+/** Limit on the calls that run in the backend server at the same time. */
+export interface ConcurrencyLimit {
+  readonly slots: number;
+  /** Between 1 and the slots, not yet rounded down. */
+  readonly limit: number;
+  readonly baselineMs: Milliseconds | null;
+  readonly trial: Trial | null;
+  readonly hint: { readonly limit: number; readonly until: Instant } | null;
+  /** Samples of the current interval. */
+  readonly samples: number;
+  readonly sumMs: Milliseconds;
+  readonly sheds: number;
+}
+
+/**
+ * Starts at all slots; the warm-up keeps the first load low.
+ *
+ * @param slots - calls that the backend server can run at the same time
+ * @returns the limit
+ */
+export function startLimit(slots: number): ConcurrencyLimit {
+  return {
+    slots,
+    limit: slots,
+    baselineMs: null,
+    trial: null,
+    hint: null,
+    samples: 0,
+    sumMs: 0,
+    sheds: 0,
+  };
+}
+
+/**
+ * Applies a changed number of slots. The limit keeps its share of the slots.
+ *
+ * @param limit - the limit
+ * @param slots - the new number
+ * @returns the resized limit
+ */
+export function resizeLimit(limit: ConcurrencyLimit, slots: number): ConcurrencyLimit {
+  if (slots === limit.slots) return limit;
+  const scaled = (limit.limit / limit.slots) * slots;
+  return { ...limit, slots, trial: null, limit: Math.min(slots, Math.max(1, scaled)) };
+}
+
+/**
+ * Records the own latency of a call that ran.
+ *
+ * @param limit - the limit
+ * @param ownLatencyMs - running time without deeper calls
+ * @returns the limit with the sample
+ */
+export function recordLatency(
+  limit: ConcurrencyLimit,
+  ownLatencyMs: Milliseconds,
+): ConcurrencyLimit {
+  return { ...limit, samples: limit.samples + 1, sumMs: limit.sumMs + ownLatencyMs };
+}
+
+/**
+ * Records that the backend server shed a call.
+ *
+ * @param limit - the limit
+ * @returns the limit with the shed
+ */
+export function recordShed(limit: ConcurrencyLimit): ConcurrencyLimit {
+  return { ...limit, sheds: limit.sheds + 1 };
+}
+
+/**
+ * Records what a health or load endpoint says.
+ *
+ * @param limit - the limit
+ * @param hint - calls that the server says it can run
+ * @param now - the current instant
+ * @returns the limit with the hint
+ */
+export function recordHint(limit: ConcurrencyLimit, hint: number, now: Instant): ConcurrencyLimit {
+  return { ...limit, hint: { limit: hint, until: now + HINT_LIFETIME_MS } };
+}
+
+/**
+ * Reads the limit that is in force.
+ *
+ * @param limit - the limit
+ * @param now - the current instant
+ * @returns a whole number between 1 and the slots
+ */
+export function effectiveLimit(limit: ConcurrencyLimit, now: Instant): number {
+  const hinted =
+    limit.hint === null || now > limit.hint.until
+      ? limit.limit
+      : Math.min(limit.limit, Math.max(limit.hint.limit, limit.limit * HINT_SHARE));
+  return Math.max(1, Math.floor(hinted));
+}
+
+/** What the limit becomes for the mean own latency of an interval. */
+function adaptToLatency(
+  limit: ConcurrencyLimit,
+  meanMs: Milliseconds,
+  peakRunning: number,
+  now: Instant,
+): ConcurrencyLimit {
+  const { trial } = limit;
+  const baselineMs = limit.baselineMs ?? meanMs;
+  if (trial !== null && now < trial.until) return limit;
+  if (trial !== null && meanMs > trial.latencyBeforeMs * HELPED_RATIO) {
+    // Fewer calls at a time did not make them faster: the service is slow by itself, and a low
+    // limit would only waste slots.
+    return { ...limit, limit: trial.limitBefore, baselineMs: meanMs, trial: null };
+  }
+  if (meanMs > baselineMs * SLOW_RATIO && limit.limit > 1) {
+    return {
+      ...limit,
+      limit: Math.max(1, limit.limit * SLOW_FACTOR),
+      baselineMs,
+      // Calls that were dispatched under the old limit end within about their latency.
+      trial: {
+        limitBefore: limit.limit,
+        latencyBeforeMs: meanMs,
+        until: now + Math.max(TRIAL_MS, 2 * meanMs),
+      },
+    };
+  }
+  const share = meanMs < baselineMs ? BASELINE_FALL_SHARE : BASELINE_RISE_SHARE;
+  const growth =
+    peakRunning >= Math.floor(limit.limit) ? Math.max(1, limit.limit * GROWTH_RATIO) : 0;
+  return {
+    ...limit,
+    limit: Math.min(limit.slots, limit.limit + growth),
+    baselineMs: baselineMs + (meanMs - baselineMs) * share,
+    trial: null,
+  };
+}
+
+/**
+ * Adapts the limit to the interval that ends now.
+ *
+ * @param limit - the limit with the samples of the interval
+ * @param peakRunning - the most calls that ran at the same time in the interval
+ * @param now - the current instant
+ * @returns the limit for the next interval
+ */
+export function adaptLimit(
+  limit: ConcurrencyLimit,
+  peakRunning: number,
+  now: Instant,
+): ConcurrencyLimit {
+  const { samples, sumMs, sheds } = limit;
+  const next: ConcurrencyLimit = { ...limit, samples: 0, sumMs: 0, sheds: 0 };
+  if (sheds > 0) {
+    // While the warm-up is the lower limit, the server sheds at what ran, not at this limit.
+    const shedAt = Math.min(limit.limit, Math.max(1, peakRunning));
+    return { ...next, limit: Math.max(1, shedAt * SHED_FACTOR), trial: null };
+  }
+  if (samples === 0) return next;
+  return adaptToLatency(next, sumMs / samples, peakRunning, now);
+}
--- a/src/core/admission/gate-message.ts
+++ b/src/core/admission/gate-message.ts
@@ -2,7 +2,7 @@
 import type { Call, Feedback, Outcome } from '../model/call.js';
 import type { BackendServer } from '../model/configuration.js';
 import type { GateState } from '../model/load.js';
-import type { RequestId } from '../model/names.js';
+import type { AccountName, RequestId } from '../model/names.js';
 import type { Milliseconds } from '../model/time.js';
 import type { Violation } from '../promises/violation.js';
 
@@ -22,6 +22,11 @@
 export type GateMessage =
   /** The configured size of the backend server. */
   | { readonly kind: 'configured'; readonly backendServer: BackendServer }
+  /** Weights of the accounts in the fair division. */
+  | {
+      readonly kind: 'weights-configured';
+      readonly weights: ReadonlyMap<AccountName, number>;
+    }
   /** Whether the gate takes new work. */
   | { readonly kind: 'state-changed'; readonly state: GateState }
   | { readonly kind: 'arrived'; readonly call: Call }
--- /dev/null
+++ b/src/core/admission/gate-state.ts
@@ -0,0 +1,111 @@
+import { Map as PersistentMap } from 'immutable';
+import type { Call, Caller } from '../model/call.js';
+import { callerKey, type CallerKey } from '../model/caller-key.js';
+import type { BackendServer, Importance } from '../model/configuration.js';
+import type { GateState, Load } from '../model/load.js';
+import type { RequestId, RouteName } from '../model/names.js';
+import type { Instant, Milliseconds } from '../model/time.js';
+import { fractionOf, INITIAL_FRACTIONS, type AdmitFractions } from './admit-fractions.js';
+import { EMPTY_QUEUE, type CallQueue } from './call-queue.js';
+import { effectiveLimit, startLimit, type ConcurrencyLimit } from './concurrency-limit.js';
+import { startServiceRate, type ServiceRate } from './service-rate.js';
+import { startWarmUp, type WarmUp } from './warm-up.js';
+
+/** A call that was handed to the backend server and has not ended. */
+export interface RunningCall {
+  readonly call: Call;
+  readonly caller: CallerKey;
+  readonly dispatchedAt: Instant;
+  /** Epoch of the warm-up at the dispatch. */
+  readonly epoch: number;
+  readonly isAborted: boolean;
+}
+
+/** Everything that a gate knows of its backend server and of the calls to it. */
+export interface Admissions {
+  readonly state: GateState;
+  readonly slots: number;
+  readonly weights: PersistentMap<CallerKey, number>;
+  readonly queue: CallQueue;
+  readonly running: PersistentMap<RequestId, RunningCall>;
+  readonly limit: ConcurrencyLimit;
+  readonly warmUp: WarmUp;
+  readonly rate: ServiceRate;
+  readonly fractions: AdmitFractions;
+  /** Typical time from dispatch to end of a route's calls. */
+  readonly runTimes: PersistentMap<RouteName, Milliseconds>;
+  /** The most calls that ran at the same time in the current interval. */
+  readonly peakRunning: number;
+  readonly now: Instant;
+}
+
+/** What a gate starts with. */
+export interface AdmissionsOptions {
+  readonly backendServer: BackendServer;
+  readonly state: GateState;
+  readonly now: Instant;
+}
+
+/**
+ * Builds the first state of a gate. The backend server is treated as cold.
+ *
+ * @param options - backend server, state of the gate and current instant
+ * @returns the state
+ */
+export function initialAdmissions({ backendServer, state, now }: AdmissionsOptions): Admissions {
+  const slots = Math.max(1, backendServer.slots);
+  return {
+    state,
+    slots,
+    weights: PersistentMap(),
+    queue: EMPTY_QUEUE,
+    running: PersistentMap(),
+    limit: startLimit(slots),
+    warmUp: startWarmUp({ slots, coldCapacity: backendServer.coldCapacity }),
+    rate: startServiceRate(now),
+    fractions: INITIAL_FRACTIONS,
+    runTimes: PersistentMap(),
+    peakRunning: 0,
+    now,
+  };
+}
+
+/**
+ * Computes how many calls may run now.
+ *
+ * @param state - the gate
+ * @returns the lowest of slots, concurrency limit and warm-up limit, at least 1
+ */
+export function gateLimit(state: Admissions): number {
+  return Math.max(
+    1,
+    Math.min(state.slots, effectiveLimit(state.limit, state.now), Math.floor(state.warmUp.limit)),
+  );
+}
+
+/**
+ * Describes the load as of the last step.
+ *
+ * @param state - the gate
+ * @returns state, running and queued calls, and the limit
+ */
+export function gateLoad(state: Admissions): Load {
+  return {
+    state: state.state,
+    running: state.running.size,
+    queued: state.queue.positions.size,
+    limit: gateLimit(state),
+  };
+}
+
+/**
+ * Reads the share of new roots that the gate takes from a caller.
+ *
+ * @param state - the gate
+ * @param importance - importance class of the roots
+ * @param caller - the caller
+ * @returns fraction in [0, 1] of root hashes
+ */
+export function admitFraction(state: Admissions, importance: Importance, caller: Caller): number {
+  return fractionOf(state.fractions, importance, callerKey(caller));
+}
--- /dev/null
+++ b/src/core/admission/warm-up.ts
@@ -0,0 +1,172 @@
+import { Map as PersistentMap } from 'immutable';
+import type { RouteName } from '../model/names.js';
+import type { Instant, Milliseconds } from '../model/time.js';
+
+/** Each success raises the warm-up limit by this much, about 10% for each round of calls. */
+const GROWTH_PER_SUCCESS = 0.1;
+
+/** Each refusal or lost connection undoes ten successes, so that the ramp stops at 9% of them. */
+const FALL_PER_FAILURE = 1;
+
+/** A latency this many times above the usual one is the sign of a cold backend server. */
+const COLD_LATENCY_FACTOR = 5;
+
+/**
+ * Samples above the factor in a row, and the time that they span, that make a step. One slow
+ * call is common, and a pause of this process delays many answers at the same moment; neither is
+ * a sign of a new incarnation.
+ */
+const COLD_LATENCY_SAMPLES = 5;
+const COLD_LATENCY_SPAN_MS = 50;
+
+/** Steps between latencies of a few milliseconds are noise of timers and garbage collection. */
+const LATENCY_FLOOR_MS = 2;
+
+/** Routes with a usual latency; further ones do not take part in the search for steps. */
+const ROUTES_MAX = 64;
+
+/** Share of a new sample in the usual latency. */
+const USUAL_LATENCY_SHARE = 0.05;
+
+/** Limit of a backend server that may be cold. */
+export interface WarmUp {
+  readonly coldCapacity: number;
+  readonly slots: number;
+  /** Calls that may run at the same time, not yet rounded down. */
+  readonly limit: number;
+  /** Counts the falls to the cold capacity; successes of an earlier epoch do not count. */
+  readonly epoch: number;
+  /** Usual latency by route, since routes of one service differ. */
+  readonly usualMs: PersistentMap<RouteName, Milliseconds>;
+  readonly slow: SlowRun;
+}
+
+/** Samples in a row that are far above the usual latency of their routes. */
+interface SlowRun {
+  readonly samples: number;
+  /** Sum of the ratios to the usual latency. */
+  readonly ratioSum: number;
+  readonly since: Instant;
+}
+
+const NO_SLOW_RUN: SlowRun = { samples: 0, ratioSum: 0, since: 0 };
+
+/** A call that succeeded. */
+export interface Success {
+  /** Epoch in which the call was dispatched. */
+  readonly epoch: number;
+  readonly route: RouteName;
+  /** Running time without deeper calls. */
+  readonly ownLatencyMs: Milliseconds;
+  readonly now: Instant;
+}
+
+/** Size of a backend server as far as the warm-up needs it. */
+export interface WarmUpOptions {
+  readonly coldCapacity: number;
+  readonly slots: number;
+}
+
+/**
+ * Starts the warm-up of a backend server that is treated as cold.
+ *
+ * @param options - slots and cold capacity
+ * @returns the warm-up at the cold capacity
+ */
+export function startWarmUp({ coldCapacity, slots }: WarmUpOptions): WarmUp {
+  const cold = Math.max(1, Math.min(coldCapacity, slots));
+  return {
+    coldCapacity: cold,
+    slots,
+    limit: cold,
+    epoch: 0,
+    usualMs: PersistentMap(),
+    slow: NO_SLOW_RUN,
+  };
+}
+
+/**
+ * Applies a changed size.
+ *
+ * @param warmUp - the warm-up
+ * @param options - the new slots and cold capacity
+ * @returns the warm-up, with a limit between cold capacity and slots
+ */
+export function resizeWarmUp(warmUp: WarmUp, options: WarmUpOptions): WarmUp {
+  const { coldCapacity, slots } = startWarmUp(options);
+  return {
+    ...warmUp,
+    coldCapacity,
+    slots,
+    limit: Math.min(slots, Math.max(coldCapacity, warmUp.limit)),
+  };
+}
+
+/**
+ * Falls back to the cold capacity.
+ *
+ * @param warmUp - the warm-up
+ * @returns the warm-up at the cold capacity, in a new epoch
+ */
+export function fallBack(warmUp: WarmUp): WarmUp {
+  return {
+    ...warmUp,
+    limit: warmUp.coldCapacity,
+    epoch: warmUp.epoch + 1,
+    slow: NO_SLOW_RUN,
+  };
+}
+
+/**
+ * Counts a refusal by the backend server or a lost connection.
+ *
+ * @param warmUp - the warm-up
+ * @returns the warm-up, lowered unless the backend server is warm already
+ */
+export function recordFailure(warmUp: WarmUp): WarmUp {
+  return warmUp.limit >= warmUp.slots
+    ? warmUp
+    : { ...warmUp, limit: Math.max(warmUp.coldCapacity, warmUp.limit - FALL_PER_FAILURE) };
+}
+
+/** Falls back when the run of slow samples is long enough. */
+function extendSlowRun(warmUp: WarmUp, ratio: number, now: Instant): WarmUp {
+  const { samples, ratioSum, since } = warmUp.slow;
+  const slow: SlowRun = {
+    samples: samples + 1,
+    ratioSum: ratioSum + ratio,
+    since: samples === 0 ? now : since,
+  };
+  if (slow.samples < COLD_LATENCY_SAMPLES || now - slow.since < COLD_LATENCY_SPAN_MS) {
+    return { ...warmUp, slow };
+  }
+  // The new level becomes the usual one, or every later sample would be another step.
+  const step = slow.ratioSum / slow.samples;
+  return { ...fallBack(warmUp), usualMs: warmUp.usualMs.map((usual) => usual * step) };
+}
+
+/**
+ * Counts a success.
+ *
+ * @param warmUp - the warm-up
+ * @param success - the call that succeeded
+ * @returns the warm-up, grown, or at the cold capacity after a step in latency
+ */
+export function recordSuccess(
+  warmUp: WarmUp,
+  { epoch, route, ownLatencyMs, now }: Success,
+): WarmUp {
+  if (epoch !== warmUp.epoch) return warmUp;
+  const sample = Math.max(LATENCY_FLOOR_MS, ownLatencyMs);
+  const usual = warmUp.usualMs.get(route) ?? sample;
+  if (sample >= usual * COLD_LATENCY_FACTOR) return extendSlowRun(warmUp, sample / usual, now);
+  const isKnown = warmUp.usualMs.has(route) || warmUp.usualMs.size < ROUTES_MAX;
+  return {
+    ...warmUp,
+    limit: Math.min(warmUp.slots, warmUp.limit + GROWTH_PER_SUCCESS),
+    usualMs: isKnown
+      ? warmUp.usualMs.set(route, usual + (sample - usual) * USUAL_LATENCY_SHARE)
+      : warmUp.usualMs,
+    slow: NO_SLOW_RUN,
+  };
+}
--- /dev/null
+++ b/src/core/retry/run-ledger.ts
@@ -0,0 +1,226 @@
+import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
+import type { Feedback } from '../model/call.js';
+import type { RequestId, ServiceName } from '../model/names.js';
+import type { Instant, Milliseconds } from '../model/time.js';
+import { assertPromise, type Violation } from '../promises/violation.js';
+import { step, type Decision, type Step } from '../task/decision.js';
+import type { RunEffect, RunMessage, RunReport } from './run-message.js';
+
+/** A root with a cycle in its call graph must end; the deepest real chain is 8 calls. */
+const DEPTH_MAX = 16;
+
+/** Failed calls remembered for one run; a run with more of them gets no further calls. */
+const FAILED_MAX = 256;
+
+/** Services whose fraction is reported, the most loaded ones. */
+const FEEDBACK_MAX = 8;
+
+type RunStart = Extract<RunMessage, { readonly kind: 'run-started' }>;
+type ChildStart = Extract<RunMessage, { readonly kind: 'child-started' }>;
+type ChildEnd = Extract<RunMessage, { readonly kind: 'child-ended' }>;
+type Refusal = Extract<RunEffect, { readonly kind: 'child-refused' }>['code'];
+
+/** A deeper call that has not ended. */
+interface Child {
+  readonly fingerprint: string;
+  readonly reserved: number;
+}
+
+/** A call that runs in the backend server. */
+interface Run {
+  readonly start: RunStart;
+  /** Extra sends used by this run's repeats and by deeper calls that have ended. */
+  readonly spent: number;
+  /** Extra sends reserved for deeper calls that run. */
+  readonly reserved: number;
+  readonly children: PersistentMap<RequestId, Child>;
+  readonly failed: PersistentSet<string>;
+  readonly feedback: PersistentMap<ServiceName, number>;
+  /** Time without a deeper call, up to `ownSince`. */
+  readonly ownMs: Milliseconds;
+  /** Since when no deeper call runs; null while one does. */
+  readonly ownSince: Instant | null;
+}
+
+/** Calls that run in the backend server, by request. */
+export interface RunLedger {
+  readonly runs: PersistentMap<RequestId, Run>;
+}
+
+/** No call runs. */
+export const INITIAL_RUNS: RunLedger = { runs: PersistentMap() };
+
+type RunStep = Step<RunLedger, RunEffect>;
+
+function left({ start, spent, reserved }: Run): number {
+  return start.retries - spent - reserved;
+}
+
+function assertRetryBound(run: Run): readonly Violation[] {
+  const { requestId, retries } = run.start;
+  return assertPromise(
+    'retry-bound',
+    left(run) >= 0,
+    () =>
+      `run ${requestId} may use ${retries} retries; ${run.spent} spent, ${run.reserved} reserved`,
+  );
+}
+
+function startRun(ledger: RunLedger, start: RunStart, now: Instant): RunLedger {
+  // A repeated start must not give the run a fresh budget.
+  if (ledger.runs.has(start.requestId)) return ledger;
+  return {
+    runs: ledger.runs.set(start.requestId, {
+      start: { ...start, retries: Math.max(0, Math.floor(start.retries)) },
+      spent: 0,
+      reserved: 0,
+      children: PersistentMap(),
+      failed: PersistentSet(),
+      feedback: PersistentMap(),
+      ownMs: 0,
+      ownSince: now,
+    }),
+  };
+}
+
+/** Why a run may not make a deeper call; null when it may. */
+function refusalOf(run: Run | undefined, child: ChildStart, now: Instant): Refusal | null {
+  if (run === undefined || run.start.depth >= DEPTH_MAX) return 'contextInvalid';
+  if (run.children.has(child.childId)) return 'contextInvalid';
+  if (now >= run.start.deadline) return 'deadlineUnreachable';
+  const isRepeat = run.failed.has(child.fingerprint);
+  if ((isRepeat && left(run) < 1) || run.failed.size >= FAILED_MAX) return 'retryBudgetSpent';
+  return null;
+}
+
+function startChild(ledger: RunLedger, child: ChildStart, now: Instant): RunStep {
+  const run = ledger.runs.get(child.parentId);
+  const refusal = refusalOf(run, child, now);
+  if (run === undefined || refusal !== null) {
+    const code = refusal ?? 'contextInvalid';
+    return step<RunLedger, RunEffect>(ledger, {
+      kind: 'child-refused',
+      childId: child.childId,
+      code,
+    });
+  }
+  const spent = run.spent + (run.failed.has(child.fingerprint) ? 1 : 0);
+  // Half, rounded up, leaves something for a parallel call and for a repeat of this one.
+  const reserved = Math.max(0, Math.ceil(left({ ...run, spent }) / 2));
+  const next: Run = {
+    ...run,
+    spent,
+    reserved: run.reserved + reserved,
+    children: run.children.set(child.childId, { fingerprint: child.fingerprint, reserved }),
+    ownMs: run.ownMs + (run.ownSince === null ? 0 : now - run.ownSince),
+    ownSince: null,
+  };
+  const { requestId, rootId, rootHash, caller, importance, depth, deadline } = run.start;
+  return step<RunLedger, RunEffect>(
+    { runs: ledger.runs.set(requestId, next) },
+    ...assertRetryBound(next),
+    {
+      kind: 'child-permitted',
+      childId: child.childId,
+      inheritance: {
+        parentId: requestId,
+        rootId,
+        rootHash,
+        caller,
+        importance,
+        depth: depth + 1,
+        deadline,
+        retries: reserved,
+      },
+    },
+  );
+}
+
+function mergeFeedback(
+  known: PersistentMap<ServiceName, number>,
+  feedback: readonly Feedback[],
+): PersistentMap<ServiceName, number> {
+  const merged = feedback.reduce(
+    (all, { service, admitFraction }) =>
+      all.set(service, Math.min(admitFraction, all.get(service) ?? 1)),
+    known,
+  );
+  return merged.size <= FEEDBACK_MAX
+    ? merged
+    : merged
+        .sortBy((admitFraction) => admitFraction)
+        .take(FEEDBACK_MAX)
+        .toMap();
+}
+
+function endChild(ledger: RunLedger, end: ChildEnd, now: Instant): RunStep {
+  const run = ledger.runs.get(end.parentId);
+  const child = run?.children.get(end.childId);
+  if (run === undefined || child === undefined) return step(ledger);
+  const children = run.children.delete(end.childId);
+  const used = end.retriesSpent ?? child.reserved;
+  const next: Run = {
+    ...run,
+    // A negative figure must not create retries.
+    spent: run.spent + Math.max(0, used),
+    reserved: run.reserved - child.reserved,
+    children,
+    failed: end.succeeded ? run.failed : run.failed.add(child.fingerprint),
+    feedback: mergeFeedback(run.feedback, end.feedback),
+    ownSince: children.isEmpty() ? now : null,
+  };
+  return step<RunLedger, RunEffect>(
+    { runs: ledger.runs.set(end.parentId, next) },
+    ...assertPromise(
+      'retry-bound',
+      used >= 0 && used <= child.reserved,
+      () => `call ${end.childId} used ${used} retries of ${child.reserved}`,
+    ),
+  );
+}
+
+function report(run: Run, now: Instant): RunReport {
+  return {
+    requestId: run.start.requestId,
+    // What deeper calls still hold may be in use, so it counts as spent.
+    retriesSpent: Math.min(run.start.retries, run.spent + run.reserved),
+    ownLatencyMs: run.ownMs + (run.ownSince === null ? 0 : now - run.ownSince),
+    feedback: [...run.feedback].map(([service, admitFraction]) => ({ service, admitFraction })),
+  };
+}
+
+function endRun(ledger: RunLedger, requestId: RequestId, now: Instant): RunStep {
+  const run = ledger.runs.get(requestId);
+  if (run === undefined) return step(ledger);
+  return step<RunLedger, RunEffect>(
+    { runs: ledger.runs.delete(requestId) },
+    ...assertRetryBound(run),
+    ...[...run.children.keys()].map((childId) => ({ kind: 'cancel-child', childId }) as const),
+    { kind: 'run-reported', report: report(run, now) },
+  );
+}
+
+/**
+ * Decides what the ledger of running calls does with a message.
+ *
+ * @param ledger - the running calls
+ * @param message - the message
+ * @param now - the current instant
+ * @returns the next state and the effects
+ */
+export const decideRuns: Decision<RunLedger, RunMessage, RunEffect> = (
+  ledger,
+  message,
+  now,
+): RunStep => {
+  switch (message.kind) {
+    case 'run-started':
+      return step(startRun(ledger, message, now));
+    case 'child-started':
+      return startChild(ledger, message, now);
+    case 'child-ended':
+      return endChild(ledger, message, now);
+    case 'run-ended':
+      return endRun(ledger, message.requestId, now);
+  }
+};
--- /dev/null
+++ b/test/core/admission/closed-loop.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Importance } from '../../../src/core/model/configuration.js';
+import { runLoop, type LoopOptions, type LoopResult, type Source } from './closed-loop.js';
+
+const SLOTS = 20;
+const SERVICE_MS = 20;
+const CAPACITY = (SLOTS * 1_000) / SERVICE_MS;
+
+function source(account: string, share: number, importance: Importance = 'normal'): Source {
+  return { account, importance, rate: () => share * CAPACITY };
+}
+
+const FAIR = ['a', 'b', 'c', 'd'].map((account) => source(account, 0.18));
+
+function run(options: Partial<LoopOptions>): LoopResult {
+  const result = runLoop({
+    sources: FAIR,
+    slots: SLOTS,
+    serviceMs: () => SERVICE_MS,
+    deadlineMs: 300,
+    durationMs: 6_000,
+    hasEntry: true,
+    seed: 1,
+    ...options,
+  });
+  assert.deepEqual(result.violations, []);
+  return result;
+}
+
+/** Answers in time per second, within an interval. */
+function goodput({ samples }: LoopResult, from: number, to: number): number {
+  const served = samples.filter(
+    ({ servedAtMs }) => servedAtMs !== null && servedAtMs >= from && servedAtMs < to,
+  );
+  return (served.length * 1_000) / (to - from);
+}
+
+/** Share of the roots sent in an interval that were answered in time. */
+function servedShare(
+  { samples }: LoopResult,
+  from: number,
+  isMeant: (source: Source) => boolean,
+): number {
+  const sent = samples.filter(({ atMs, source: sender }) => atMs >= from && isMeant(sender));
+  // The last roots are still under way when the loop ends.
+  const settled = sent.slice(0, Math.floor(sent.length * 0.95));
+  return settled.filter(({ servedAtMs }) => servedAtMs !== null).length / settled.length;
+}
+
+[1, 2, 3].forEach((seed) => {
+  [true, false].forEach((hasEntry) => {
+    const title = `seed ${seed}, ${hasEntry ? 'with' : 'without'} early refusal at the entry`;
+
+    test(`goodput and fair accounts hold at 3x overload (${title})`, () => {
+      // Guards against congestion collapse and against one account crowding out the others.
+      const result = run({ sources: [source('hog', 2.28), ...FAIR], hasEntry, seed });
+      assert.ok(goodput(result, 1_500, 6_000) >= 0.85 * CAPACITY);
+      FAIR.forEach(({ account }) => {
+        assert.ok(servedShare(result, 1_500, (sender) => sender.account === account) >= 0.9);
+      });
+    });
+
+    test(`an account at 5x its share does not harm the others (${title})`, () => {
+      // Guards against unfairness in the region where the fair accounts nearly fill the server.
+      const result = run({ sources: [source('hog', 1), ...FAIR], hasEntry, seed });
+      assert.ok(goodput(result, 1_500, 6_000) >= 0.85 * CAPACITY);
+      FAIR.forEach(({ account }) => {
+        assert.ok(servedShare(result, 1_500, (sender) => sender.account === account) >= 0.9);
+      });
+    });
+
+    test(`the more important class is served in full (${title})`, () => {
+      // Guards against shedding important roots while less important ones are served.
+      const sources = ['a', 'b'].flatMap((account) => [
+        source(account, 1.2, 'low'),
+        source(account, 0.3, 'high'),
+      ]);
+      const result = run({ sources, hasEntry, seed });
+      assert.ok(goodput(result, 1_500, 6_000) >= 0.85 * CAPACITY);
+      assert.ok(servedShare(result, 1_500, ({ importance }) => importance === 'high') >= 0.99);
+      assert.ok(servedShare(result, 1_500, ({ importance }) => importance === 'low') > 0.05);
+    });
+
+    test(`goodput is back within 5 s after a slow phase (${title})`, () => {
+      // Guards against an overload that outlasts its trigger.
+      const serviceMs = (at: number): number => (at > 3_000 && at < 6_000 ? 5 : 1) * SERVICE_MS;
+      const result = run({ serviceMs, hasEntry, seed, durationMs: 13_000 });
+      assert.ok(goodput(result, 11_000, 13_000) >= 0.95 * goodput(result, 1_500, 3_000));
+    });
+  });
+});
+
+test('admit fractions do not swing between 0 and 1', () => {
+  // Guards against measuring demand that entries have already thinned.
+  const { fractions } = run({ sources: [source('hog', 2.28), ...FAIR], durationMs: 10_000 });
+  const settled = fractions.slice(20);
+  assert.ok(Math.max(...settled) <= 0.4, `highest ${Math.max(...settled)}`);
+  assert.ok(Math.min(...settled) >= 0.02, `lowest ${Math.min(...settled)}`);
+});
