--- /dev/null
+++ b/src/core/pipeline/context-handle.ts
@@ -0,0 +1,50 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import type { RequestId } from '../model/names.js';
+
+function isEqual(left: string, right: string): boolean {
+  const a = Buffer.from(left);
+  const b = Buffer.from(right);
+  return a.length === b.length && timingSafeEqual(a, b);
+}
+
+/**
+ * Issues and verifies the handles that name a running call. The key is made at the start of the
+ * process and never leaves it, so a handle of another node or of an earlier run is refused.
+ */
+export class ContextHandles {
+  readonly #key: Uint8Array;
+
+  /**
+   * @param key - random key of this process
+   */
+  constructor(key: Uint8Array) {
+    this.#key = key;
+  }
+
+  /**
+   * Issues the handle of a running call.
+   *
+   * @param rootId - identifier of the root request
+   * @param runId - identifier of the running call
+   * @returns text for the `almondhoist-context` header
+   */
+  issue(rootId: RequestId, runId: RequestId): string {
+    return `${rootId}~${runId}~${this.#sign(rootId, runId)}`;
+  }
+
+  /**
+   * Verifies a handle.
+   *
+   * @param handle - text of the header
+   * @returns identifier of the running call, or null for a forged or foreign handle
+   */
+  verify(handle: string): RequestId | null {
+    const [rootId, runId, mac, ...rest] = handle.split('~');
+    if (rootId === undefined || runId === undefined || mac === undefined) return null;
+    return rest.length === 0 && isEqual(mac, this.#sign(rootId, runId)) ? runId : null;
+  }
+
+  #sign(rootId: RequestId, runId: RequestId): string {
+    return createHmac('sha256', this.#key).update(`${rootId}~${runId}`).digest('base64url');
+  }
+}
--- /dev/null
+++ b/src/runtime/crash-probe.ts
@@ -0,0 +1,32 @@
+import { request } from 'undici';
+import type { Milliseconds } from '../core/model/time.js';
+
+/** What a probe after a broken connection found. */
+export type ProbeResult =
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'answered'; readonly incarnation: string | null }
+  | { readonly kind: 'no-answer' };
+
+const PROBE_TIMEOUT_MS: Milliseconds = 500;
+
+function isRefused(error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+/**
+ * Asks a backend server whether it still runs, to tell a crash from a single lost connection.
+ *
+ * @param url - base URL of the backend server
+ * @returns what the backend server did
+ */
+export async function probeServer(url: string): Promise<ProbeResult> {
+  try {
+    const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+    const { headers, body } = await request(`${url}/health`, { signal });
+    await body.dump();
+    const incarnation = headers['x-server-incarnation'];
+    return { kind: 'answered', incarnation: typeof incarnation === 'string' ? incarnation : null };
+  } catch (error) {
+    return isRefused(error) ? { kind: 'refused' } : { kind: 'no-answer' };
+  }
+}
--- /dev/null
+++ b/src/runtime/gate-task.ts
@@ -0,0 +1,338 @@
+import { decideGate } from '../core/admission/gate.js';
+import type { DispatchEnd, GateEffect, GateMessage } from '../core/admission/gate-message.js';
+import { gateLoad, initialAdmissions, type Admissions } from '../core/admission/gate-state.js';
+import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Answer, Call, Feedback, Header, Outcome } from '../core/model/call.js';
+import type { BackendServer } from '../core/model/configuration.js';
+import type { GateState, Load } from '../core/model/load.js';
+import type { AccountName, RequestId } from '../core/model/names.js';
+import type { Clock } from '../core/model/time.js';
+import type { ContextHandles } from '../core/pipeline/context-handle.js';
+import type { Report } from '../core/promises/report.js';
+import type { RunReport } from '../core/retry/run-message.js';
+import { Task } from '../core/task/task.js';
+import { BackendClient } from './backend-client.js';
+import type { BackendEvent } from './backend-exchange.js';
+import { probeServer } from './crash-probe.js';
+import type { Metrics } from './metrics.js';
+import type { RunTask } from './run-task.js';
+
+/** What the gate needs of its node. */
+export interface GateTaskOptions {
+  readonly backendServer: BackendServer;
+  readonly url: string;
+  readonly maxBodyBytes: number;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly report: Report;
+  readonly handles: ContextHandles;
+  readonly runs: RunTask;
+  readonly isQuarantined: (fingerprint: string) => boolean;
+  readonly hasMark: (fingerprint: string) => boolean;
+  /** The backend server crashed while these fingerprints ran. */
+  readonly crashed: (fingerprints: readonly string[]) => void;
+  readonly completed: (fingerprint: string) => void;
+}
+
+type Reply = (answer: Answer) => void;
+
+interface Pending {
+  readonly call: Call;
+  readonly reply: Reply;
+}
+
+interface HeldEnd {
+  readonly requestId: RequestId;
+  readonly end: DispatchEnd;
+}
+
+/** Sign of a crash that waits for the probe. */
+interface Suspicion {
+  readonly fingerprints: readonly string[];
+  readonly incarnation: string | null;
+  readonly held: readonly HeldEnd[];
+}
+
+const TICK_INTERVAL_MS = 100;
+
+const NO_REPORT: Omit<RunReport, 'requestId'> = { retriesSpent: 0, ownLatencyMs: 0, feedback: [] };
+
+function subjectOf(call: Call): Subject {
+  const { requestId, rootId, caller, service } = call;
+  return { requestId, rootId, caller, service };
+}
+
+function codeOf(outcome: Outcome) {
+  return outcome.kind === 'answered' ? 'ok' : outcome.code;
+}
+
+/** Owner of the backend server: admits calls, sends them and answers their senders. */
+export class GateTask {
+  readonly #options: GateTaskOptions;
+
+  readonly #task: Task<Admissions, GateMessage, GateEffect>;
+
+  readonly #client: BackendClient;
+
+  readonly #pending = new Map<RequestId, Pending>();
+
+  readonly #reports = new Map<RequestId, RunReport>();
+
+  /** Calls whose first byte was written; a refusal of one of them would be false. */
+  readonly #started = new Set<RequestId>();
+
+  readonly #ticker: NodeJS.Timeout;
+
+  #incarnation: string | null = null;
+
+  #suspicion: Suspicion | null = null;
+
+  /**
+   * @param options - the backend server and what the gate needs of its node
+   */
+  constructor(options: GateTaskOptions) {
+    this.#options = options;
+    const { backendServer, clock, url, maxBodyBytes } = options;
+    this.#task = new Task({
+      initial: initialAdmissions({ backendServer, state: 'serving', now: clock.now() }),
+      decide: decideGate,
+      clock,
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#client = new BackendClient({
+      url,
+      connections: Math.min(backendServer.connections, backendServer.slots),
+      maxBodyBytes,
+      clock,
+      onEvent: (event) => this.#receive(event),
+    });
+    this.#ticker = setInterval(() => this.#task.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  /** @returns the load as the gate sees it */
+  get load(): Load {
+    return gateLoad(this.#task.state);
+  }
+
+  /** @returns the number of calls that have no answer yet */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  /**
+   * Admits a call, or refuses it.
+   *
+   * @param call - the call, with instants of the own clock
+   * @param reply - receives exactly one answer
+   */
+  admit(call: Call, reply: Reply): void {
+    this.#pending.set(call.requestId, { call, reply });
+    if (this.#options.isQuarantined(call.fingerprint)) {
+      this.#answer(call.requestId, { kind: 'refused', code: 'quarantined', retryAfterMs: 0 }, []);
+      return;
+    }
+    this.#task.send({ kind: 'arrived', call });
+  }
+
+  /**
+   * Cancels a call whose answer is of no use any more.
+   *
+   * @param requestId - identifier of the call; unknown ones are ignored
+   */
+  cancel(requestId: RequestId): void {
+    if (this.#pending.has(requestId)) this.#task.send({ kind: 'cancelled', requestId });
+  }
+
+  /**
+   * Applies a configuration.
+   *
+   * @param backendServer - size of the backend server
+   * @param weights - weights of the accounts in the fair division
+   */
+  configure(backendServer: BackendServer, weights: ReadonlyMap<AccountName, number>): void {
+    this.#task.send({ kind: 'configured', backendServer });
+    this.#task.send({ kind: 'weights-configured', weights });
+  }
+
+  /**
+   * Changes whether the gate takes new work.
+   *
+   * @param state - the state from now on
+   */
+  changeState(state: GateState): void {
+    if (this.load.state !== state) this.#task.send({ kind: 'state-changed', state });
+  }
+
+  /** Stops the timer and closes the connections after the running calls have ended. */
+  async close(): Promise<void> {
+    clearInterval(this.#ticker);
+    await this.#client.close();
+  }
+
+  #perform(effect: GateEffect): void {
+    switch (effect.kind) {
+      case 'dispatch':
+        this.#dispatch(effect.call);
+        break;
+      case 'abort':
+        this.#client.abort(effect.requestId);
+        break;
+      case 'answer':
+        this.#answer(effect.requestId, effect.outcome, [effect.feedback]);
+        break;
+      case 'violation':
+        this.#options.report(effect);
+        break;
+    }
+  }
+
+  #dispatch(call: Call): void {
+    const { log, runs, backendServer } = this.#options;
+    log.write({ kind: 'dispatch', ...subjectOf(call), backendServer: backendServer.name });
+    runs.start(call);
+    this.#client.dispatch(call, this.#ownHeaders(call));
+  }
+
+  #ownHeaders(call: Call): readonly Header[] {
+    const { handles, clock } = this.#options;
+    const remainingMs = Math.max(0, Math.floor(call.deadline - clock.now()));
+    const account: readonly Header[] =
+      call.caller.kind === 'account' ? [['almondhoist-account', call.caller.account]] : [];
+    return [
+      ...account,
+      ['almondhoist-context', handles.issue(call.rootId, call.requestId)],
+      ['almondhoist-request-id', call.requestId],
+      ['almondhoist-root-id', call.rootId],
+      ['almondhoist-deadline-ms', String(remainingMs)],
+    ];
+  }
+
+  #receive(event: BackendEvent): void {
+    switch (event.kind) {
+      case 'started':
+        this.#started.add(event.requestId);
+        break;
+      case 'ended':
+        this.#ended(event);
+        break;
+      case 'connection-reset':
+        this.#suspectCrash();
+        break;
+      case 'connection-refused':
+        this.#task.send({ kind: 'cold-sign', sign: 'connection-refused' });
+        break;
+      case 'incarnation':
+        this.#sawIncarnation(event.incarnation);
+        break;
+    }
+  }
+
+  #ended({ requestId, end }: HeldEnd): void {
+    const isBroken = end.kind === 'failed' && end.code === 'serverFailed';
+    if (isBroken && this.#suspicion !== null) {
+      const held = [...this.#suspicion.held, { requestId, end }];
+      this.#suspicion = { ...this.#suspicion, held };
+      return;
+    }
+    this.#settle(requestId, end);
+  }
+
+  #settle(requestId: RequestId, end: DispatchEnd): void {
+    const { runs, completed } = this.#options;
+    const call = this.#pending.get(requestId)?.call;
+    const report = runs.end(requestId);
+    if (report !== null) this.#reports.set(requestId, report);
+    if (call !== undefined && end.kind === 'answered') completed(call.fingerprint);
+    this.#task.send({
+      kind: 'ended',
+      requestId,
+      end,
+      ownLatencyMs: report?.ownLatencyMs ?? 0,
+    });
+  }
+
+  /** Holds the calls that broke until a probe tells a crash from a lost connection. */
+  #suspectCrash(): void {
+    if (this.#suspicion !== null) return;
+    const running = [...this.#task.state.running.values()];
+    this.#suspicion = {
+      fingerprints: running.map(({ call }) => call.fingerprint),
+      incarnation: this.#incarnation,
+      held: [],
+    };
+    this.#task.send({ kind: 'cold-sign', sign: 'connection-reset' });
+    void this.#probe();
+  }
+
+  async #probe(): Promise<void> {
+    const result = await probeServer(this.#options.url);
+    const suspicion = this.#suspicion;
+    this.#suspicion = null;
+    if (suspicion === null) return;
+    const isNew =
+      result.kind === 'answered' &&
+      result.incarnation !== null &&
+      suspicion.incarnation !== null &&
+      result.incarnation !== suspicion.incarnation;
+    const hasCrashed = result.kind === 'refused' || isNew;
+    // The marks of earlier crashes decide; marks of this one would stop every repetition.
+    const ends = suspicion.held.map((held) => this.#endAfterProbe(held, hasCrashed));
+    if (hasCrashed) this.#options.crashed(suspicion.fingerprints);
+    ends.forEach(({ requestId, end }) => this.#settle(requestId, end));
+  }
+
+  #endAfterProbe({ requestId, end }: HeldEnd, hasCrashed: boolean): HeldEnd {
+    const fingerprint = this.#pending.get(requestId)?.call.fingerprint;
+    const wasMarked = fingerprint !== undefined && this.#options.hasMark(fingerprint);
+    return hasCrashed && wasMarked
+      ? { requestId, end: { kind: 'failed', code: 'serverCrashed' } }
+      : { requestId, end };
+  }
+
+  #sawIncarnation(incarnation: string): void {
+    const isChanged = this.#incarnation !== null && this.#incarnation !== incarnation;
+    this.#incarnation = incarnation;
+    if (isChanged) this.#task.send({ kind: 'cold-sign', sign: 'incarnation-changed' });
+  }
+
+  #answer(requestId: RequestId, outcome: Outcome, own: readonly Feedback[]): void {
+    const pending = this.#pending.get(requestId);
+    if (pending === undefined) return;
+    const { log, metrics, backendServer } = this.#options;
+    const report = this.#reports.get(requestId) ?? NO_REPORT;
+    this.#checkNotRun(requestId, outcome);
+    this.#pending.delete(requestId);
+    this.#reports.delete(requestId);
+    this.#started.delete(requestId);
+    const code = codeOf(outcome);
+    const status = outcome.kind === 'answered' ? outcome.status : null;
+    metrics.gateAnswers.inc({ code });
+    log.write({
+      kind: 'gate-answer',
+      ...subjectOf(pending.call),
+      backendServer: backendServer.name,
+      code,
+      status,
+    });
+    pending.reply({
+      requestId,
+      outcome,
+      retriesSpent: report.retriesSpent,
+      feedback: [...own, ...report.feedback],
+      load: this.load,
+    });
+  }
+
+  #checkNotRun(requestId: RequestId, outcome: Outcome): void {
+    const isRefused = outcome.kind === 'refused';
+    // A shed answer is the backend server's own word that it did not run the call.
+    const isByServer = isRefused && outcome.code === 'serverShed';
+    if (!isRefused || isByServer || !this.#started.has(requestId)) return;
+    this.#options.report({
+      kind: 'violation',
+      promise: 'not-run',
+      detail: `${requestId} was refused with ${outcome.code} after its first byte was written`,
+    });
+  }
+}
--- /dev/null
+++ b/src/runtime/link-table.ts
@@ -0,0 +1,216 @@
+import { createServer as createHttpServer, type Server } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Call } from '../core/model/call.js';
+import type { BackendServerName } from '../core/model/names.js';
+import type { PeerMessage } from '../core/model/peer-message.js';
+import type { Clock } from '../core/model/time.js';
+import type { Attempt } from '../core/pipeline/next-attempt.js';
+import type { TlsMaterial } from './tls-material.js';
+import { PeerLink, type HeartbeatContent, type LinkEvent } from './peer-link.js';
+
+/** What the table tells the node; `link` is the one to answer over. */
+export type TableEvent =
+  | { readonly kind: 'link'; readonly event: LinkEvent; readonly link: PeerLink }
+  /** A connection could not be opened to the address. */
+  | { readonly kind: 'connect-failed'; readonly peer: BackendServerName };
+
+/** What the table needs. */
+export interface LinkTableOptions {
+  readonly identity: Identity;
+  readonly secret: string;
+  readonly tls: TlsMaterial | null;
+  readonly maxFrameBytes: number;
+  readonly clock: Clock;
+  readonly heartbeat: () => HeartbeatContent;
+  readonly onEvent: (event: TableEvent) => void;
+}
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+function listenerFor(tls: TlsMaterial | null): Server {
+  if (tls === null) return createHttpServer();
+  return createHttpsServer({ ...tls, requestCert: true, rejectUnauthorized: true });
+}
+
+/** Owner of the peer listener and of all links to other nodes. */
+export class LinkTable {
+  readonly #options: LinkTableOptions;
+
+  readonly #server: Server;
+
+  readonly #webSocketServer: WebSocketServer;
+
+  readonly #links = new Set<PeerLink>();
+
+  /** Ready links by peer, the newest last. */
+  readonly #ready = new Map<BackendServerName, readonly PeerLink[]>();
+
+  /**
+   * @param options - the own identity, secret, TLS files, clock and the node's handler
+   */
+  constructor(options: LinkTableOptions) {
+    this.#options = options;
+    this.#server = listenerFor(options.tls);
+    this.#webSocketServer = new WebSocketServer({
+      server: this.#server,
+      maxPayload: options.maxFrameBytes,
+      perMessageDeflate: false,
+    });
+    this.#webSocketServer.on('connection', (socket) => this.#add(socket, 'listener', null));
+    this.#webSocketServer.on('error', () => {});
+  }
+
+  /** @returns the HTTP server to listen with */
+  get server(): Server {
+    return this.#server;
+  }
+
+  /** @returns the names of the peers to which a ready link exists */
+  get peers(): readonly BackendServerName[] {
+    return [...this.#ready.keys()];
+  }
+
+  /**
+   * Opens a link.
+   *
+   * @param peer - name that the node is expected to have
+   * @param address - its peer address, `IP:port`
+   */
+  connect(peer: BackendServerName, address: string): void {
+    const { tls, maxFrameBytes } = this.#options;
+    const socket = new WebSocket(`${tls === null ? 'ws' : 'wss'}://${address}`, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      maxPayload: maxFrameBytes,
+      perMessageDeflate: false,
+      ...tls,
+    });
+    this.#add(socket, 'opener', peer);
+  }
+
+  /**
+   * Closes the links to a peer in order.
+   *
+   * @param peer - the peer
+   */
+  disconnect(peer: BackendServerName): void {
+    [...this.#links]
+      .filter((link) => link.peer?.node === peer)
+      .forEach((link) => {
+        link.close();
+      });
+  }
+
+  /**
+   * Sends a message over the newest ready link.
+   *
+   * @param peer - the peer
+   * @param message - the message
+   * @returns false when no link is ready, so that nothing was sent
+   */
+  send(peer: BackendServerName, message: PeerMessage): boolean {
+    return this.#newest(peer)?.send(message) ?? false;
+  }
+
+  /**
+   * Sends a call over the newest ready link.
+   *
+   * @param peer - the peer
+   * @param call - the call
+   * @param orderId - identifier of the order when the peer is its home
+   * @returns what became of the call
+   */
+  async call(peer: BackendServerName, call: Call, orderId: string | null): Promise<Attempt> {
+    const link = this.#newest(peer);
+    return link === undefined ? { kind: 'unsent' } : link.call(call, orderId);
+  }
+
+  /**
+   * Tells a peer that a call is of no use any more.
+   *
+   * @param peer - the peer
+   * @param requestId - identifier of the call
+   */
+  cancel(peer: BackendServerName, requestId: string): void {
+    this.#ready.get(peer)?.forEach((link) => {
+      link.cancel(requestId);
+    });
+  }
+
+  /** @returns the calls that wait for answers over all links */
+  get outstanding(): number {
+    return [...this.#links].reduce((sum, link) => sum + link.outstanding, 0);
+  }
+
+  /** Closes the listener and all links in order. */
+  async close(): Promise<void> {
+    this.#links.forEach((link) => {
+      link.close();
+    });
+    this.#webSocketServer.close();
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
+  }
+
+  #newest(peer: BackendServerName): PeerLink | undefined {
+    return this.#ready.get(peer)?.at(-1);
+  }
+
+  #add(socket: WebSocket, role: 'opener' | 'listener', expected: BackendServerName | null): void {
+    const { identity, secret, clock, heartbeat } = this.#options;
+    const link = new PeerLink({
+      socket,
+      role,
+      identity,
+      secret,
+      clock,
+      heartbeat,
+      onEvent: (event, source) => this.#receive(event, source, expected),
+    });
+    this.#links.add(link);
+  }
+
+  #receive(event: LinkEvent, link: PeerLink, expected: BackendServerName | null): void {
+    switch (event.kind) {
+      case 'opened': {
+        const { node } = event.identity;
+        this.#ready.set(node, [...(this.#ready.get(node) ?? []), link]);
+        this.#options.onEvent({ kind: 'link', event, link });
+        break;
+      }
+      case 'closed':
+        this.#closed(event, link, expected);
+        break;
+      case 'message':
+      case 'late-answer':
+      case 'silent':
+      case 'frame-invalid':
+      case 'unproven':
+        this.#options.onEvent({ kind: 'link', event, link });
+        break;
+    }
+  }
+
+  #closed(
+    event: Extract<LinkEvent, { kind: 'closed' }>,
+    link: PeerLink,
+    expected: BackendServerName | null,
+  ): void {
+    this.#links.delete(link);
+    const peer = event.identity?.node ?? null;
+    if (peer === null) {
+      if (expected !== null) this.#options.onEvent({ kind: 'connect-failed', peer: expected });
+      return;
+    }
+    const others = (this.#ready.get(peer) ?? []).filter((other) => other !== link);
+    if (others.length > 0) {
+      this.#ready.set(peer, others);
+      return;
+    }
+    this.#ready.delete(peer);
+    this.#options.onEvent({ kind: 'link', event, link });
+  }
+}
--- /dev/null
+++ b/src/runtime/peer-link.ts
@@ -0,0 +1,246 @@
+import type { WebSocket } from 'ws';
+import type { Identity } from '../core/membership/handshake.js';
+import {
+  decideLink,
+  initialLink,
+  toPeerClock,
+  type Link,
+  type LinkEffect,
+  type LinkMessage,
+} from '../core/membership/link-health.js';
+import type { Answer, Call } from '../core/model/call.js';
+import type { DocumentHead } from '../core/model/document.js';
+import type { RequestId } from '../core/model/names.js';
+import type { PeerMessage } from '../core/model/peer-message.js';
+import type { Clock, Milliseconds } from '../core/model/time.js';
+import type { Attempt } from '../core/pipeline/next-attempt.js';
+import { Task } from '../core/task/task.js';
+import { OutstandingCalls } from './outstanding-calls.js';
+import { PeerSocket, type SocketEvent } from './peer-socket.js';
+
+/** What a heartbeat tells the peer besides the time. */
+export interface HeartbeatContent {
+  readonly heads: readonly DocumentHead[];
+  readonly serviceAgeMs: Milliseconds;
+}
+
+/** What a link tells its owner. */
+export type LinkEvent =
+  /** Both ends proved themselves and the offset of their clocks is bounded. */
+  | { readonly kind: 'opened'; readonly identity: Identity }
+  | { readonly kind: 'message'; readonly identity: Identity; readonly message: PeerMessage }
+  /** An answer came that no call waits for; it is dropped. */
+  | { readonly kind: 'late-answer'; readonly identity: Identity }
+  | { readonly kind: 'silent'; readonly identity: Identity }
+  | { readonly kind: 'frame-invalid'; readonly reason: string }
+  | { readonly kind: 'unproven'; readonly reason: string }
+  | { readonly kind: 'closed'; readonly identity: Identity | null };
+
+/** What a link needs. */
+export interface PeerLinkOptions {
+  readonly socket: WebSocket;
+  readonly role: 'opener' | 'listener';
+  readonly identity: Identity;
+  readonly secret: string;
+  readonly clock: Clock;
+  readonly heartbeat: () => HeartbeatContent;
+  readonly onEvent: (event: LinkEvent, link: PeerLink) => void;
+}
+
+const TICK_INTERVAL_MS = 50;
+
+/** A call whose answer is this late is given up; the gate answers at the deadline itself. */
+const ANSWER_GRACE_MS = 50;
+
+/** One connection to a peer: heartbeats, calls that wait for answers, and messages. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+
+  readonly #socket: PeerSocket;
+
+  readonly #calls = new OutstandingCalls();
+
+  readonly #health: Task<Link, LinkMessage, LinkEffect>;
+
+  readonly #ticker: NodeJS.Timeout;
+
+  #peer: Identity | null = null;
+
+  #isReady = false;
+
+  /**
+   * @param options - the socket, the own identity, clock, heartbeat content and owner's handler
+   */
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+    this.#health = new Task({
+      initial: initialLink(options.clock.now()),
+      decide: decideLink,
+      clock: options.clock,
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#ticker = setInterval(() => this.#health.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+    const { socket, identity, secret, role } = options;
+    this.#socket = new PeerSocket(
+      { socket, identity, secret, onEvent: (event) => this.#receive(event) },
+      role,
+    );
+  }
+
+  /** @returns the proven identity of the peer, or null before the handshake has ended */
+  get peer(): Identity | null {
+    return this.#peer;
+  }
+
+  /** @returns whether calls may be sent over the link */
+  get isReady(): boolean {
+    return this.#isReady;
+  }
+
+  /** @returns the number of calls that wait for answers */
+  get outstanding(): number {
+    return this.#calls.size;
+  }
+
+  /**
+   * Sends a message that expects no answer by identifier.
+   *
+   * @param message - the message
+   * @returns false when nothing was sent
+   */
+  send(message: PeerMessage): boolean {
+    const isSent = this.#socket.send(message);
+    if (isSent) this.#health.send({ kind: 'frame-sent' });
+    return isSent;
+  }
+
+  /**
+   * Sends a call and waits for its answer. Its deadlines are translated to the peer's clock so
+   * that the peer never acts after them.
+   *
+   * @param call - the call, with instants of the own clock
+   * @param orderId - identifier of the order when the peer is its home, null when it is the gate
+   * @returns what became of the call
+   */
+  async call(call: Call, orderId: string | null): Promise<Attempt> {
+    const now = this.#options.clock.now();
+    const { state } = this.#health;
+    const deadline = toPeerClock(state, call.deadline);
+    const startBy = toPeerClock(state, call.startBy);
+    if (deadline === null || startBy === null) return { kind: 'unsent' };
+    const translated: Call = { ...call, deadline, startBy };
+    const message: PeerMessage =
+      orderId === null
+        ? { kind: 'call', call: translated }
+        : { kind: 'order-call', orderId, call: translated };
+    if (!this.send(message)) return { kind: 'unsent' };
+    const attempt = this.#calls.add(call.requestId, call.deadline - now + ANSWER_GRACE_MS);
+    this.#countCalls();
+    const result = await attempt;
+    this.#countCalls();
+    return result;
+  }
+
+  /**
+   * Tells the peer that a call is of no use any more.
+   *
+   * @param requestId - identifier of the call
+   */
+  cancel(requestId: RequestId): void {
+    this.send({ kind: 'cancel', requestId });
+  }
+
+  /**
+   * Sends an answer back over the link on which its call came.
+   *
+   * @param answer - the answer
+   */
+  answer(answer: Answer): void {
+    this.send({ kind: 'answer', answer });
+  }
+
+  /** Closes the link in order. */
+  close(): void {
+    this.#socket.close();
+  }
+
+  #countCalls(): void {
+    this.#health.send({ kind: 'calls-outstanding', count: this.#calls.size });
+  }
+
+  #receive(event: SocketEvent): void {
+    switch (event.kind) {
+      case 'opened':
+        this.#peer = event.identity;
+        this.#health.send({ kind: 'opened' });
+        break;
+      case 'message':
+        this.#receiveMessage(event.message);
+        break;
+      case 'frame-invalid':
+      case 'unproven':
+        this.#options.onEvent(event, this);
+        break;
+      case 'closed':
+        this.#closed();
+        break;
+    }
+  }
+
+  #receiveMessage(message: PeerMessage): void {
+    const identity = this.#peer;
+    if (identity === null) return;
+    this.#health.send({ kind: 'frame-received' });
+    switch (message.kind) {
+      case 'ping':
+        this.#health.send({ kind: 'ping-received', sentAt: message.sentAt });
+        this.#options.onEvent({ kind: 'message', identity, message }, this);
+        break;
+      case 'pong':
+        this.#health.send({ ...message, kind: 'pong-received' });
+        this.#reportReady(identity);
+        break;
+      case 'answer':
+        if (!this.#calls.answer(message.answer)) {
+          this.#options.onEvent({ kind: 'late-answer', identity }, this);
+        }
+        break;
+      default:
+        this.#options.onEvent({ kind: 'message', identity, message }, this);
+    }
+  }
+
+  #reportReady(identity: Identity): void {
+    if (this.#isReady) return;
+    this.#isReady = toPeerClock(this.#health.state, this.#options.clock.now()) !== null;
+    if (this.#isReady) this.#options.onEvent({ kind: 'opened', identity }, this);
+  }
+
+  #perform(effect: LinkEffect): void {
+    switch (effect.kind) {
+      case 'send-ping':
+        this.#socket.send({ kind: 'ping', sentAt: effect.sentAt, ...this.#options.heartbeat() });
+        break;
+      case 'send-pong':
+        this.#socket.send({
+          kind: 'pong',
+          echoedSentAt: effect.echoedSentAt,
+          receivedAt: effect.receivedAt,
+        });
+        break;
+      case 'silent':
+        if (this.#peer !== null) {
+          this.#options.onEvent({ kind: 'silent', identity: this.#peer }, this);
+        }
+        this.#socket.terminate();
+        break;
+    }
+  }
+
+  #closed(): void {
+    clearInterval(this.#ticker);
+    this.#isReady = false;
+    this.#calls.loseAll();
+    this.#options.onEvent({ kind: 'closed', identity: this.#peer }, this);
+  }
+}
--- /dev/null
+++ b/src/runtime/placement.ts
@@ -0,0 +1,217 @@
+import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Call, Feedback, Outcome } from '../core/model/call.js';
+import type { BackendServerName, RegionName, ServiceName, ZoneName } from '../core/model/names.js';
+import type { Clock, Milliseconds } from '../core/model/time.js';
+import type { Candidate } from '../core/membership/membership-message.js';
+import { nextAttempt, type Attempt } from '../core/pipeline/next-attempt.js';
+import { reportAll, type Report } from '../core/promises/report.js';
+import { assertPromise } from '../core/promises/violation.js';
+import { chooseBackendServer, type Choice } from '../core/routing/route-choice.js';
+import type { Metrics } from './metrics.js';
+
+/** What became of a call after all its sends. */
+export interface Placed {
+  readonly outcome: Outcome;
+  readonly retriesSpent: number;
+  readonly feedback: readonly Feedback[];
+}
+
+/** What placement needs of its node. */
+export interface PlacementOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly report: Report;
+  readonly random: () => number;
+  readonly zone: ZoneName;
+  readonly region: () => RegionName;
+  readonly candidates: (service: ServiceName) => readonly Candidate[];
+  /** Resolves when another candidate may have appeared, or after the time. */
+  readonly candidateChange: (timeoutMs: Milliseconds) => Promise<void>;
+  readonly send: (backendServer: BackendServerName, call: Call) => Promise<Attempt>;
+  readonly attempted: (backendServer: BackendServerName, attempt: Attempt) => void;
+}
+
+interface Progress {
+  readonly number: number;
+  readonly retriesSpent: number;
+  readonly excluded: ReadonlySet<BackendServerName>;
+  readonly feedback: readonly Feedback[];
+}
+
+/** A first call to a service opens links; waiting that long for one beats a refusal. */
+const CANDIDATE_WAIT_MS = 300;
+
+const START: Progress = { number: 1, retriesSpent: 0, excluded: new Set(), feedback: [] };
+
+function subjectOf(call: Call): Subject {
+  const { requestId, rootId, caller, service } = call;
+  return { requestId, rootId, caller, service };
+}
+
+/** Owner of the calls that this node has sent to gates; chooses, sends and sends again. */
+export class Placement {
+  readonly #options: PlacementOptions;
+
+  readonly #inFlight = new Map<BackendServerName, number>();
+
+  /** Gate that holds a call now, by identifier of the call. */
+  readonly #holders = new Map<string, { readonly peer: BackendServerName; readonly id: string }>();
+
+  /**
+   * @param options - clock, log, candidates and how to send
+   */
+  constructor(options: PlacementOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends a call to a gate, and to others as long as that is safe and within its budget.
+   *
+   * @param call - the call
+   * @returns its outcome, the extra sends it cost and the feedback for the entry
+   */
+  async place(call: Call): Promise<Placed> {
+    const placed = await this.#attempt(call, START);
+    const { retriesSpent } = placed;
+    reportAll(
+      assertPromise(
+        'retry-bound',
+        retriesSpent <= call.retries,
+        () => `${call.requestId} spent ${retriesSpent} retries of ${call.retries}`,
+      ),
+      this.#options.report,
+    );
+    return placed;
+  }
+
+  /**
+   * Finds where a call is now, so that it can be cancelled there.
+   *
+   * @param requestId - identifier of the call
+   * @returns the gate and the identifier of the send, or null when nothing is outstanding
+   */
+  holderOf(requestId: string): { readonly peer: BackendServerName; readonly id: string } | null {
+    return this.#holders.get(requestId) ?? null;
+  }
+
+  async #attempt(call: Call, progress: Progress): Promise<Placed> {
+    const choice = await this.#choose(call, progress);
+    if (choice === null) {
+      return {
+        outcome: { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 },
+        retriesSpent: progress.retriesSpent,
+        feedback: progress.feedback,
+      };
+    }
+    const { backendServer } = choice;
+    const retriesLeft = call.retries - progress.retriesSpent;
+    // One retry stays here, so that a lost answer does not use up all that was left.
+    const allotment = Math.max(0, retriesLeft - 1);
+    const attempt = await this.#send(call, { backendServer, allotment, number: progress.number });
+    const spent = attempt.kind === 'lost' ? allotment : 0;
+    const reported = attempt.kind === 'replied' ? attempt.answer.retriesSpent : spent;
+    return this.#review(call, backendServer, attempt, {
+      ...progress,
+      retriesSpent: progress.retriesSpent + Math.min(reported, allotment),
+      feedback:
+        attempt.kind === 'replied'
+          ? [...progress.feedback, ...attempt.answer.feedback]
+          : progress.feedback,
+    });
+  }
+
+  async #review(
+    call: Call,
+    backendServer: BackendServerName,
+    attempt: Attempt,
+    progress: Progress,
+  ): Promise<Placed> {
+    const { clock, metrics } = this.#options;
+    const retriesLeft = call.retries - progress.retriesSpent;
+    const next = nextAttempt({ call, backendServer, attempt, retriesLeft, now: clock.now() });
+    switch (next.kind) {
+      case 'finish':
+        return {
+          outcome: next.outcome,
+          retriesSpent: progress.retriesSpent,
+          feedback: progress.feedback,
+        };
+      case 'send-again':
+        metrics.retries.inc();
+        return this.#attempt(call, {
+          number: progress.number + 1,
+          retriesSpent: progress.retriesSpent + 1,
+          excluded: new Set([...progress.excluded, next.excluded]),
+          feedback: progress.feedback,
+        });
+    }
+  }
+
+  async #choose(call: Call, progress: Progress): Promise<Choice | null> {
+    const choice = this.#tryChoose(call, progress);
+    if (choice !== null || progress.number > 1) return choice;
+    await this.#options.candidateChange(CANDIDATE_WAIT_MS);
+    return this.#tryChoose(call, progress);
+  }
+
+  #tryChoose(call: Call, progress: Progress): Choice | null {
+    const { candidates, zone, region, random, clock, log, metrics } = this.#options;
+    const considered = candidates(call.service);
+    const choice = chooseBackendServer({
+      candidates: considered,
+      ownZone: zone,
+      ownRegion: region(),
+      inFlight: this.#inFlight,
+      excluded: progress.excluded,
+      random,
+      now: clock.now(),
+    });
+    const code = choice.match(
+      ({ reason }) => (progress.number > 1 ? 'chosenRetry' : reason),
+      (error) => error,
+    );
+    metrics.routing.inc({ code });
+    log.write({
+      kind: 'routing',
+      ...subjectOf(call),
+      zone,
+      attempt: progress.number,
+      candidates: considered.map((candidate) => ({
+        backendServer: candidate.backendServer,
+        zone: candidate.zone,
+        busy: candidate.load === null ? null : candidate.load.running + candidate.load.queued,
+        limit: candidate.load?.limit ?? null,
+      })),
+      choice: choice.map(({ backendServer }) => backendServer).unwrapOr(null),
+      code,
+    });
+    return choice.unwrapOr(null);
+  }
+
+  async #send(
+    call: Call,
+    to: {
+      readonly backendServer: BackendServerName;
+      readonly allotment: number;
+      readonly number: number;
+    },
+  ): Promise<Attempt> {
+    const { send, attempted } = this.#options;
+    const { backendServer, allotment } = to;
+    const id = `${call.requestId}.${to.number}`;
+    this.#count(backendServer, 1);
+    this.#holders.set(call.requestId, { peer: backendServer, id });
+    const attempt = await send(backendServer, { ...call, requestId: id, retries: allotment });
+    this.#holders.delete(call.requestId);
+    this.#count(backendServer, -1);
+    attempted(backendServer, attempt);
+    return attempt;
+  }
+
+  #count(backendServer: BackendServerName, change: number): void {
+    const count = (this.#inFlight.get(backendServer) ?? 0) + change;
+    if (count === 0) this.#inFlight.delete(backendServer);
+    else this.#inFlight.set(backendServer, count);
+  }
+}
--- a/src/runtime/service-client.ts
+++ b/src/runtime/service-client.ts
@@ -1,4 +1,4 @@
-import { err, ok, Result, ResultAsync } from 'neverthrow';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { request } from 'undici';
 import { formatFault, type Fault } from '../core/errors/fault.js';
 import { openBundle } from '../core/configuration/bundle.js';
