Read, check, publish and compare the operators' file set

Operators declare accounts, services, routes and zones in TOML files, and nodes need them as one checked value.

The files are joined into one source set, each entry is checked by its fields, and the parts are compared; all faults come back at once with file and path. A document from the service passes the same check. Bundles are cut by key, so that one changed entry changes one part.

--- /dev/null
+++ b/src/core/configuration/bundle.ts
@@ -0,0 +1,171 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import type { Fault } from '../errors/fault.js';
+import { documentDigest } from '../model/document-digest.js';
+import type { Document } from '../model/document.js';
+import { describeValue, faultAt, isTable, type Place } from '../toml/read-table.js';
+import { canonicalJson, parseJson } from './canonical-json.js';
+import { MAX_PART_BYTES, readManifest, type Manifest, type PartHead } from './manifest.js';
+import { textDigest } from './text-digest.js';
+
+/**
+ * A part ends after one in this many keys. The choice depends on the key alone, so that a changed
+ * entry changes one part and the others keep their digests.
+ */
+const ENTRIES_PER_PART = 2048;
+
+const PART_START = '{"entries":{';
+const PART_END = '}}';
+const PART_FRAME_BYTES = PART_START.length + PART_END.length;
+
+/** Name of the published document in faults. */
+const SOURCE = 'bundle';
+
+/** A document in the form in which the configuration service holds it. */
+export interface Bundle {
+  readonly manifest: Manifest;
+  readonly manifestText: string;
+  /** Text of each part by its digest. */
+  readonly parts: ReadonlyMap<string, string>;
+}
+
+function placeOf(path: string): Place {
+  return { source: SOURCE, path };
+}
+
+function endsPart(key: string): boolean {
+  return createHash('sha256').update(key).digest().readUInt32BE(0) % ENTRIES_PER_PART === 0;
+}
+
+function memberOf([key, text]: readonly [string, string]): string {
+  return `${JSON.stringify(key)}:${text}`;
+}
+
+function packParts(entries: readonly (readonly [string, string])[]): readonly string[] {
+  const groups: string[][] = [[]];
+  let bytes = PART_FRAME_BYTES;
+  entries.forEach((entry) => {
+    const member = memberOf(entry);
+    // One more byte for the comma.
+    const memberBytes = Buffer.byteLength(member) + 1;
+    if (bytes + memberBytes > MAX_PART_BYTES) {
+      groups.push([]);
+      bytes = PART_FRAME_BYTES;
+    }
+    groups.at(-1)?.push(member);
+    bytes += memberBytes;
+    if (endsPart(entry[0])) {
+      groups.push([]);
+      bytes = PART_FRAME_BYTES;
+    }
+  });
+  return groups
+    .filter((members) => members.length > 0)
+    .map((members) => `${PART_START}${members.join(',')}${PART_END}`);
+}
+
+function entryFaults(entry: readonly [string, string]): readonly Fault[] {
+  const [key, text] = entry;
+  const bytes = Buffer.byteLength(memberOf(entry)) + 1 + PART_FRAME_BYTES;
+  return [
+    ...(bytes > MAX_PART_BYTES
+      ? [faultAt('valueTooLarge', placeOf(key), { found: bytes, expected: MAX_PART_BYTES })]
+      : []),
+    ...(canonicalJson(parseJson(text)) === text
+      ? []
+      : [
+          faultAt('valueInvalid', placeOf(key), {
+            found: 'other text',
+            expected: 'JSON with sorted keys and without spaces',
+          }),
+        ]),
+  ];
+}
+
+/**
+ * Splits a document into values that fit into the configuration service.
+ *
+ * @param document - the document
+ * @returns manifest and parts, or all faults at once
+ */
+export function bundleDocument(document: Document): Result<Bundle, readonly Fault[]> {
+  const { topic, version, digest } = document;
+  const entries = [...document.entries].sort(([left], [right]) => (left < right ? -1 : 1));
+  const faults = entries.flatMap(entryFaults);
+  if (faults.length > 0) {
+    return err(faults);
+  }
+  const parts = new Map(packParts(entries).map((text) => [textDigest(text), text] as const));
+  const heads = [...parts].map(([partDigest, text]): PartHead => ({
+    digest: partDigest,
+    bytes: Buffer.byteLength(text),
+  }));
+  const manifest: Manifest = { topic, version, digest, parts: heads };
+  const manifestText = canonicalJson(manifest);
+  const bytes = Buffer.byteLength(manifestText);
+  return bytes > MAX_PART_BYTES
+    ? err([
+        faultAt('valueTooLarge', placeOf('manifest'), { found: bytes, expected: MAX_PART_BYTES }),
+      ])
+    : ok({ manifest, manifestText, parts });
+}
+
+type Members = readonly (readonly [string, unknown])[];
+
+function openPart(head: PartHead, text: string | undefined): Result<Members, Fault> {
+  const place = placeOf(`parts/${head.digest}`);
+  if (text === undefined) {
+    return err(faultAt('fieldMissing', place, { expected: `a part of ${head.bytes} bytes` }));
+  }
+  const found = textDigest(text);
+  if (found !== head.digest || Buffer.byteLength(text) !== head.bytes) {
+    const reason = `the part has digest ${found} and ${Buffer.byteLength(text)} bytes; expected digest ${head.digest} and ${head.bytes} bytes`;
+    return err(faultAt('setInconsistent', place, { reason }));
+  }
+  const content = parseJson(text);
+  return isTable(content) && isTable(content['entries'])
+    ? ok(Object.entries(content['entries']))
+    : err(
+        faultAt('valueInvalid', place, {
+          found: describeValue(content),
+          expected: 'an object with entries',
+        }),
+      );
+}
+
+function joinParts(
+  manifest: Manifest,
+  parts: ReadonlyMap<string, string>,
+): Result<Document, readonly Fault[]> {
+  const opened = manifest.parts.map((head) => openPart(head, parts.get(head.digest)));
+  const members = opened.flatMap((part) => part.unwrapOr([]));
+  const entries = new Map(members.map(([key, value]) => [key, canonicalJson(value)] as const));
+  const digest = documentDigest(entries);
+  const partFaults = opened.flatMap((part) => (part.isErr() ? [part.error] : []));
+  if (partFaults.length > 0) {
+    return err(partFaults);
+  }
+  if (entries.size !== members.length) {
+    const reason = 'two parts have the same entry; expected each entry once';
+    return err([faultAt('setInconsistent', placeOf('parts'), { reason })]);
+  }
+  if (digest !== manifest.digest) {
+    const reason = `the entries have digest ${digest}; expected ${manifest.digest}`;
+    return err([faultAt('setInconsistent', placeOf('digest'), { reason })]);
+  }
+  return ok({ topic: manifest.topic, version: manifest.version, digest, entries });
+}
+
+/**
+ * Joins a published document and verifies the digests of its parts and of the whole.
+ *
+ * @param manifestText - the published manifest
+ * @param parts - texts of the published parts by digest; others are ignored
+ * @returns the document, or all faults at once
+ */
+export function openBundle(
+  manifestText: string,
+  parts: ReadonlyMap<string, string>,
+): Result<Document, readonly Fault[]> {
+  return readManifest(manifestText, SOURCE).andThen((manifest) => joinParts(manifest, parts));
+}
--- /dev/null
+++ b/src/core/configuration/diff.ts
@@ -0,0 +1,214 @@
+import type { Account, BackendServer, Configuration, Route, Zone } from '../model/configuration.js';
+
+interface Named {
+  readonly name: string;
+}
+
+interface Descriptions<T> {
+  readonly added: (item: T) => readonly string[];
+  readonly removed: (item: T) => readonly string[];
+  readonly changed: (before: T, after: T) => readonly string[];
+}
+
+function compareByName<T extends Named>(
+  older: readonly T[],
+  newer: readonly T[],
+  describe: Descriptions<T>,
+): readonly string[] {
+  const before = new Map(older.map((item) => [item.name, item]));
+  const after = new Map(newer.map((item) => [item.name, item]));
+  return [
+    ...older.filter(({ name }) => !after.has(name)).flatMap(describe.removed),
+    ...newer.flatMap((item) => {
+      const earlier = before.get(item.name);
+      return earlier === undefined ? describe.added(item) : describe.changed(earlier, item);
+    }),
+  ];
+}
+
+function when(condition: boolean, text: string): readonly string[] {
+  return condition ? [text] : [];
+}
+
+/** Names the items of one list that another list lacks. */
+function without(items: readonly string[], others: readonly string[]): readonly string[] {
+  const known = new Set(others);
+  return items.filter((item) => !known.has(item));
+}
+
+function changedValue(subject: string, before: number | string, after: number | string) {
+  return when(before !== after, `${subject} changes from ${before} to ${after}`);
+}
+
+function shortHash(hash: string): string {
+  return `${hash.slice(0, 12)}...`;
+}
+
+const zoneChanges: Descriptions<Zone> = {
+  added: ({ name, region, state }) => [
+    `availability zone ${name} of region ${region} is added and is ${state}`,
+  ],
+  removed: ({ name }) => [`availability zone ${name} is removed`],
+  changed: (before, after) => [
+    ...changedValue(`region of availability zone ${after.name}`, before.region, after.region),
+    ...when(
+      before.state === 'in' && after.state === 'out',
+      `availability zone ${after.name} goes out: its backend servers get no new work`,
+    ),
+    ...when(
+      before.state === 'out' && after.state === 'in',
+      `availability zone ${after.name} comes in: its backend servers get work again`,
+    ),
+  ],
+};
+
+const serviceChanges: Descriptions<Named> = {
+  added: ({ name }) => [`service ${name} is added`],
+  removed: ({ name }) => [`service ${name} is removed`],
+  changed: () => [],
+};
+
+const backendServerChanges: Descriptions<BackendServer> = {
+  added: ({ name, service, zone, slots }) => [
+    `backend server ${name} of service ${service} is added in availability zone ${zone} with ${slots} slots`,
+  ],
+  removed: ({ name, service }) => [`backend server ${name} of service ${service} is removed`],
+  changed: (before, after) => [
+    ...changedValue(`service of backend server ${after.name}`, before.service, after.service),
+    ...changedValue(`availability zone of backend server ${after.name}`, before.zone, after.zone),
+    ...changedValue(`slots of backend server ${after.name}`, before.slots, after.slots),
+    ...changedValue(
+      `connections of backend server ${after.name}`,
+      before.connections,
+      after.connections,
+    ),
+    ...changedValue(
+      `cold capacity of backend server ${after.name}`,
+      before.coldCapacity,
+      after.coldCapacity,
+    ),
+  ],
+};
+
+const accountChanges: Descriptions<Account> = {
+  added: ({ name, keyHashes, ratePerSecond, burst, services }) => [
+    `account ${name} is added with ${keyHashes.length} keys, ${ratePerSecond} requests per second, a burst of ${burst} and access to: ${services.join(', ') || 'no service'}`,
+  ],
+  removed: ({ name, keyHashes }) => [
+    `account ${name} is removed and its ${keyHashes.length} keys are withdrawn`,
+  ],
+  changed: (before, after) => [
+    ...without(before.keyHashes, after.keyHashes).map(
+      (hash) => `a key of account ${after.name} is withdrawn (hash ${shortHash(hash)})`,
+    ),
+    ...without(after.keyHashes, before.keyHashes).map(
+      (hash) => `a key is granted to account ${after.name} (hash ${shortHash(hash)})`,
+    ),
+    ...when(
+      before.keyHashes.length > 0 && after.keyHashes.length === 0,
+      `warning: account ${after.name} has no key left and is refused everywhere`,
+    ),
+    ...changedValue(
+      `rate of account ${after.name} in requests per second`,
+      before.ratePerSecond,
+      after.ratePerSecond,
+    ),
+    ...changedValue(`burst of account ${after.name}`, before.burst, after.burst),
+    ...changedValue(`weight of account ${after.name}`, before.weight, after.weight),
+    ...without(before.services, after.services).map(
+      (service) => `account ${after.name} may no longer call service ${service}`,
+    ),
+    ...without(after.services, before.services).map(
+      (service) => `account ${after.name} may call service ${service}`,
+    ),
+  ],
+};
+
+function idempotenceChange(before: Route, after: Route): readonly string[] {
+  return [
+    ...when(
+      before.idempotent && !after.idempotent,
+      `route ${after.name} becomes non-idempotent: its requests need an order identifier and run at most once`,
+    ),
+    ...when(
+      !before.idempotent && after.idempotent,
+      `warning: route ${after.name} becomes idempotent: its requests may run more than once`,
+    ),
+  ];
+}
+
+function accessChange(before: Route, after: Route): readonly string[] {
+  return [
+    ...when(
+      before.access === 'keyed' && after.access === 'open',
+      `warning: route ${after.name} opens to everyone: its requests need no key`,
+    ),
+    ...when(
+      before.access === 'open' && after.access === 'keyed',
+      `route ${after.name} needs a key from now on`,
+    ),
+  ];
+}
+
+const routeChanges: Descriptions<Route> = {
+  added: ({ name, service, method, path, importance, idempotent, access }) => [
+    `route ${name} is added: ${method} ${path} of service ${service}, importance ${importance}, ${idempotent ? 'idempotent' : 'non-idempotent'}, ${access}`,
+  ],
+  removed: ({ name, service, method, path }) => [
+    `route ${name} is removed: ${method} ${path} of service ${service}`,
+  ],
+  changed: (before, after) => [
+    ...changedValue(`service of route ${after.name}`, before.service, after.service),
+    ...changedValue(`method of route ${after.name}`, before.method, after.method),
+    ...changedValue(`path of route ${after.name}`, before.path, after.path),
+    ...changedValue(`importance of route ${after.name}`, before.importance, after.importance),
+    ...idempotenceChange(before, after),
+    ...accessChange(before, after),
+    ...changedValue(`deadline of route ${after.name} in ms`, before.deadlineMs, after.deadlineMs),
+    ...changedValue(`retries of route ${after.name}`, before.retries, after.retries),
+  ],
+};
+
+function revisionChange(older: Configuration, newer: Configuration): readonly string[] {
+  return newer.revision > older.revision
+    ? [`revision goes from ${older.revision} to ${newer.revision}`]
+    : [
+        `warning: revision ${newer.revision} is not higher than ${older.revision}: nodes ignore the newer set`,
+      ];
+}
+
+// A revision in which two hosts hold credit for one seat would admit more than rate and burst.
+const SEAT_WARNING =
+  'warning: a seat may only be moved after its old host has stopped, or accounts may exceed their rate';
+
+function seatChanges(older: Configuration, newer: Configuration): readonly string[] {
+  const gone = without(older.seats, newer.seats);
+  const come = without(newer.seats, older.seats);
+  const sameSeats = gone.length === 0 && come.length === 0;
+  const isReordered = sameSeats && older.seats.some((seat, index) => seat !== newer.seats[index]);
+  return [
+    ...gone.map((seat) => `${seat} gives up its seat`),
+    ...come.map((seat) => `${seat} takes a seat`),
+    ...when(isReordered, 'the seats are listed in another order'),
+    ...when(!sameSeats, SEAT_WARNING),
+  ];
+}
+
+/**
+ * Says in words what the change from one configuration to another does.
+ *
+ * @param older - the configuration in force
+ * @param newer - the configuration that would replace it
+ * @returns one line a change; warnings begin with `warning:`
+ */
+export function describeChanges(older: Configuration, newer: Configuration): readonly string[] {
+  return [
+    ...revisionChange(older, newer),
+    ...seatChanges(older, newer),
+    ...compareByName(older.zones, newer.zones, zoneChanges),
+    ...compareByName(older.services, newer.services, serviceChanges),
+    ...compareByName(older.backendServers, newer.backendServers, backendServerChanges),
+    ...compareByName(older.accounts, newer.accounts, accountChanges),
+    ...compareByName(older.routes, newer.routes, routeChanges),
+  ];
+}
--- /dev/null
+++ b/test/core/configuration/diff.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { describeChanges } from '../../../src/core/configuration/diff.js';
+import { loadSet } from './sets.js';
+
+test('a diff says what each change does and warns of dangerous ones', async () => {
+  // Guards against a withdrawn key or a moved seat that operators overlook.
+  assert.deepEqual(
+    describeChanges(
+      await loadSet('test/fixtures/older-set'),
+      await loadSet('test/fixtures/newer-set'),
+    ),
+    [
+      'warning: revision 4 is not higher than 4: nodes ignore the newer set',
+      'stock-1 gives up its seat',
+      'stock-2 takes a seat',
+      'warning: a seat may only be moved after its old host has stopped, or accounts may exceed their rate',
+      'availability zone east goes out: its backend servers get no new work',
+      'a key of account mill is withdrawn (hash aaaaaaaaaaaa...)',
+      'a key is granted to account mill (hash bbbbbbbbbbbb...)',
+      'rate of account mill in requests per second changes from 5 to 7.5',
+      'route cut becomes non-idempotent: its requests need an order identifier and run at most once',
+    ],
+  );
+});
+
+test('added and removed parts are named', async () => {
+  // Guards against an account that vanishes without a line.
+  const older = await loadSet('test/fixtures/older-set');
+  const newer = { ...older, revision: 5, accounts: [], routes: older.routes.slice(0, 1) };
+  assert.deepEqual(describeChanges(older, newer), [
+    'revision goes from 4 to 5',
+    'account mill is removed and its 1 keys are withdrawn',
+    'route cut is removed: PUT /cuts/* of service stock',
+  ]);
+});
