--- /dev/null
+++ b/src/core/settings/address.ts
@@ -0,0 +1,46 @@
+import type { Address } from './settings.js';
+
+const ADDRESS_PATTERN = /^(?<host>\d+\.\d+\.\d+\.\d+|\[[\da-fA-F:.]+\]):(?<port>\d{1,5})$/;
+const MAX_PORT = 65_535;
+const DEFAULT_PORTS: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
+
+// The URL parser knows every form of IPv6; it turns IPv4 forms such as 10.1 into other text.
+function isIpAddress(host: string): boolean {
+  const text = `http://${host}/`;
+  return (
+    /^(\d+\.\d+\.\d+\.\d+|\[.*\])$/.test(host) &&
+    URL.canParse(text) &&
+    (host.startsWith('[') || new URL(text).hostname === host)
+  );
+}
+
+/**
+ * Parses an IP address and a port.
+ *
+ * @param text - `10.0.0.7:8080` or `[::1]:8080`
+ * @returns the address with IPv6 brackets removed, or null when the text is none
+ */
+export function parseAddress(text: string): Address | null {
+  const { host = '', port = '' } = ADDRESS_PATTERN.exec(text)?.groups ?? {};
+  return port !== '' && Number(port) <= MAX_PORT && isIpAddress(host)
+    ? { host: host.replace(/^\[|\]$/g, ''), port: Number(port) }
+    : null;
+}
+
+/**
+ * Finds the address that a base URL names.
+ *
+ * @param text - URL with scheme, IP address and optional port
+ * @returns the address, or null when the text is no such URL
+ */
+export function urlAddress(text: string): Address | null {
+  if (!URL.canParse(text)) {
+    return null;
+  }
+  const { protocol, host, hostname, port, origin } = new URL(text);
+  const defaultPort = DEFAULT_PORTS[protocol];
+  const isBase = text === origin || text === `${origin}/`;
+  return defaultPort === undefined || !isBase || !isIpAddress(hostname)
+    ? null
+    : parseAddress(port === '' ? `${host}:${defaultPort}` : host);
+}
