--- /dev/null
+++ b/src/cli/diff-command.ts
@@ -0,0 +1,34 @@
+import { command, positional, string } from 'cmd-ts';
+import { ResultAsync } from 'neverthrow';
+import { describeChanges } from '../core/configuration/diff.js';
+import { exitCodes, type ExitCode } from './exit-code.js';
+import { loadSetDirectory } from './set-directory.js';
+import { printFaults, type Terminal } from './terminal.js';
+
+/**
+ * Builds `diff OLD NEW`.
+ *
+ * @param terminal - where the command prints
+ * @returns the command
+ */
+export function diffCommand(terminal: Terminal) {
+  return command({
+    name: 'diff',
+    description: 'Say what the change from one file set to another does.',
+    args: {
+      older: positional({ type: string, displayName: 'OLD' }),
+      newer: positional({ type: string, displayName: 'NEW' }),
+    },
+    handler: ({ older, newer }): Promise<ExitCode> =>
+      ResultAsync.combineWithAllErrors([
+        loadSetDirectory(older),
+        loadSetDirectory(newer),
+      ]).match<ExitCode>(
+        ([before, after]) => {
+          describeChanges(before, after).forEach((line) => terminal.print(line));
+          return exitCodes.success;
+        },
+        (faults) => printFaults(terminal, faults.flat()),
+      ),
+  });
+}
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,50 @@
+import { runSafely, subcommands } from 'cmd-ts';
+import { codeMessage, resultCode } from '../core/errors/registry.js';
+import { bundleCommand } from './bundle-command.js';
+import { checkCommand } from './check-command.js';
+import { diffCommand } from './diff-command.js';
+import { exitCodes, type ExitCode } from './exit-code.js';
+import { hashKeyCommand } from './hash-key-command.js';
+import type { Terminal } from './terminal.js';
+import { VERSION } from './version.js';
+
+function application(terminal: Terminal) {
+  return subcommands({
+    name: 'almondhoist',
+    version: VERSION,
+    description: 'Overload control layer for service call graphs.',
+    // The commands `node` and `explain` join here.
+    cmds: {
+      check: checkCommand(terminal),
+      bundle: bundleCommand(terminal),
+      diff: diffCommand(terminal),
+      'hash-key': hashKeyCommand(terminal),
+    },
+  });
+}
+
+/**
+ * Runs the command that the arguments name.
+ *
+ * @param args - arguments after the name of the binary
+ * @param terminal - where the command reads and prints
+ * @returns the exit code
+ */
+export async function run(args: readonly string[], terminal: Terminal): Promise<ExitCode> {
+  try {
+    const result = await runSafely(application(terminal), [...args]);
+    if ('value' in result) {
+      return await result.value.value;
+    }
+    const { exitCode, message, into } = result.error.config;
+    (into === 'stdout' ? terminal.print : terminal.printError)(message);
+    // cmd-ts answers a missing command with the help text and code 0.
+    return exitCode === 0 && args.length > 0 ? exitCodes.success : exitCodes.wrongUsage;
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    terminal.printError(
+      `[${resultCode('internal').number}] ${codeMessage('internal', { reason })}`,
+    );
+    return exitCodes.unexpectedError;
+  }
+}
