Build the single binary

Hosts get one file without an installation of Node.js.

scripts/build.mjs compiles dist/js, bundles src/main.ts and injects it into a copy of the running Node.js; steps whose output is newer than all sources are skipped.

--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,100 @@
+// Builds dist/js (all programs) and dist/almondhoist (one file that carries Node.js). With
+// --binary it leaves dist/js alone, so that tests that run from there can build the binary.
+import { execFile } from 'node:child_process';
+import {
+  chmod,
+  copyFile,
+  mkdir,
+  readdir,
+  readFile,
+  rename,
+  rm,
+  stat,
+  writeFile,
+} from 'node:fs/promises';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { build } from 'esbuild';
+import { inject } from 'postject';
+
+const run = promisify(execFile);
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+const binary = join(root, 'dist', 'almondhoist');
+const compiled = join(root, 'dist', 'js', 'src', 'main.js');
+const work = join(root, 'dist', 'sea');
+
+const BUILD_INPUTS = ['package.json', 'package-lock.json', 'tsconfig.json', 'scripts/build.mjs'];
+const BINARY_SOURCES = ['src', ...BUILD_INPUTS];
+const COMPILED_SOURCES = ['standin', 'demo', 'bench', 'soak', 'test', ...BINARY_SOURCES];
+
+/** Documented by Node.js; marks the place that postject fills. */
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+async function newestChange(path) {
+  const info = await stat(path).catch(() => null);
+  if (info === null) {
+    return 0;
+  }
+  if (!info.isDirectory()) {
+    return info.mtimeMs;
+  }
+  const names = await readdir(path);
+  // The directory itself counts too: its time changes when a file is removed.
+  const times = await Promise.all(names.map((name) => newestChange(join(path, name))));
+  return Math.max(info.mtimeMs, ...times);
+}
+
+async function isCurrent(output, sources) {
+  const built = await stat(output).catch(() => null);
+  const times = await Promise.all(sources.map((source) => newestChange(join(root, source))));
+  return built !== null && built.mtimeMs > Math.max(...times);
+}
+
+async function compile() {
+  await rm(join(root, 'dist', 'js'), { recursive: true, force: true });
+  await run(process.execPath, [join(root, 'node_modules/typescript/bin/tsc'), '-p', root]);
+}
+
+async function makeBinary() {
+  await mkdir(work, { recursive: true });
+  const bundle = join(work, 'main.cjs');
+  const blob = join(work, 'main.blob');
+  const config = join(work, 'sea.json');
+  const unfinished = join(work, 'almondhoist');
+  await build({
+    entryPoints: [join(root, 'src', 'main.ts')],
+    outfile: bundle,
+    bundle: true,
+    format: 'cjs',
+    platform: 'node',
+    target: 'node20',
+    logLevel: 'warning',
+  });
+  const options = { main: bundle, output: blob, disableExperimentalSEAWarning: true };
+  await writeFile(config, JSON.stringify(options));
+  await run(process.execPath, ['--experimental-sea-config', config]);
+  await copyFile(process.execPath, unfinished);
+  await chmod(unfinished, 0o755);
+  await inject(unfinished, 'NODE_SEA_BLOB', await readFile(blob), { sentinelFuse: SEA_FUSE });
+  // A rename keeps a binary that is in use and never leaves half of one behind.
+  await rename(unfinished, binary);
+}
+
+async function main() {
+  const isBinaryOnly = process.argv.includes('--binary');
+  if (!isBinaryOnly && !(await isCurrent(compiled, COMPILED_SOURCES))) {
+    await compile();
+    console.log('compiled dist/js');
+  }
+  if (!(await isCurrent(binary, BINARY_SOURCES))) {
+    await makeBinary();
+    console.log('built dist/almondhoist');
+  }
+}
+
+main().catch((error) => {
+  // The compiler reports its faults on the standard output.
+  console.error(error.stdout ?? '', error.stderr ?? '', error.message);
+  process.exitCode = 1;
+});
