--- a/src/core/pipeline/admit-root.ts
+++ b/src/core/pipeline/admit-root.ts
@@ -35,6 +35,14 @@
       : ok(root);
 }
 
+/** Without an identifier, a repeated order could not be told from a new one. */
+function requireOrderId(root: Root): Result<Root, Refusal> {
+  const { route, credentials } = root.request;
+  return route.idempotent || credentials.orderId !== null
+    ? ok(root)
+    : err({ ...refusal('orderIdMissing'), orderFor: root.caller });
+}
+
 /** Refuses early what a service further down the path would have to refuse later. */
 function thin(view: RootView) {
   return (root: Root): Result<Root, Refusal> =>
@@ -114,6 +122,7 @@
       hash: rootHash(request.requestId),
     };
     return ok<Root, Refusal>(root)
+      .andThen(requireOrderId)
       .andThen(notQuarantined(view))
       .andThen(thin(view))
       .andThen(limitRepeats(view))
--- a/src/core/pipeline/exchange.ts
+++ b/src/core/pipeline/exchange.ts
@@ -72,6 +72,8 @@
 export interface Refusal {
   readonly code: CodeName;
   readonly retryAfterMs: Milliseconds;
+  /** Caller who gets a fresh order identifier with the refusal. */
+  readonly orderFor?: Caller;
 }
 
 /**
--- a/src/core/pipeline/next-attempt.ts
+++ b/src/core/pipeline/next-attempt.ts
@@ -1,3 +1,4 @@
+import type { CodeName } from '../errors/registry.js';
 import type { Answer, Call, Outcome } from '../model/call.js';
 import type { BackendServerName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
@@ -31,8 +32,16 @@
 
 const SERVICE_UNAVAILABLE = 503;
 
+/** Failures after which another gate would work for nothing, or would crash as well. */
+const FINAL_FAILURES: ReadonlySet<CodeName> = new Set([
+  'deadlinePassed',
+  'cancelledRunning',
+  // The fingerprint was running at an earlier crash too.
+  'serverCrashed',
+]);
+
 /** Another gate cannot help when the refusal is about the call and not about the gate. */
-function isWorthAnotherGate(code: string): boolean {
+function isWorthAnotherGate(code: CodeName): boolean {
   return code !== 'quarantined' && code !== 'deadlineUnreachable' && code !== 'cancelled';
 }
 
@@ -52,10 +61,7 @@
     case 'refused':
       return isWorthAnotherGate(outcome.code);
     case 'failed':
-      // A call that was seen running at two crashes would take down a third backend server.
-      return (
-        call.idempotent && outcome.code !== 'deadlinePassed' && outcome.code !== 'serverCrashed'
-      );
+      return call.idempotent && !FINAL_FAILURES.has(outcome.code);
     case 'answered':
       return call.idempotent && outcome.status === SERVICE_UNAVAILABLE;
   }
--- /dev/null
+++ b/src/runtime/credit-task.ts
@@ -0,0 +1,216 @@
+import { randomInt } from 'node:crypto';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import type {
+  HolderEffect,
+  HolderMessage,
+  WalletEffect,
+  WalletMessage,
+} from '../core/credit/credit-message.js';
+import { decideHolder, HOLDER_TICK_MS, initialHolder, type Holder } from '../core/credit/holder.js';
+import { decideWallet, initialWallet, WALLET_TICK_MS, type Wallet } from '../core/credit/wallet.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Configuration } from '../core/model/configuration.js';
+import type { AccountName, BackendServerName, RequestId } from '../core/model/names.js';
+import type { Draw, Grant, PeerMessage, Settlement } from '../core/model/peer-message.js';
+import type { Clock } from '../core/model/time.js';
+import { refusal, type Refusal } from '../core/pipeline/exchange.js';
+import type { Report } from '../core/promises/report.js';
+import { Task } from '../core/task/task.js';
+
+/** What credit needs of its node. */
+export interface CreditTaskOptions {
+  readonly identity: Identity;
+  readonly clock: Clock;
+  readonly report: Report;
+  /** Sends to another node; false when nothing was sent. */
+  readonly send: (peer: BackendServerName, message: PeerMessage) => boolean;
+}
+
+/** The library's random integers are drawn below 2 to the power of 48. */
+const FIRST_DRAW_ID_LIMIT = 2 ** 47;
+
+/** Owner of the node's grants and, if it has a seat, of the buckets of that seat. */
+export class CreditTask {
+  readonly #options: CreditTaskOptions;
+
+  readonly #wallet: Task<Wallet, WalletMessage, WalletEffect>;
+
+  readonly #holder: Task<Holder, HolderMessage, HolderEffect>;
+
+  readonly #waiting = new Map<RequestId, (result: Result<void, Refusal>) => void>();
+
+  readonly #tickers: readonly NodeJS.Timeout[];
+
+  /**
+   * @param options - identity, clock and how to send to other nodes
+   */
+  constructor(options: CreditTaskOptions) {
+    this.#options = options;
+    const { identity, clock } = options;
+    this.#wallet = new Task({
+      initial: initialWallet({
+        node: identity.node,
+        firstDrawId: randomInt(1, FIRST_DRAW_ID_LIMIT),
+      }),
+      decide: decideWallet,
+      clock,
+      perform: (effect) => this.#performWallet(effect),
+    });
+    this.#holder = new Task({
+      initial: initialHolder({
+        seat: identity.node,
+        zone: identity.zone,
+        incarnation: identity.incarnation,
+        now: clock.now(),
+      }),
+      decide: decideHolder,
+      clock,
+      perform: (effect) => this.#performHolder(effect),
+    });
+    this.#tickers = [
+      setInterval(() => this.#wallet.send({ kind: 'tick' }), WALLET_TICK_MS),
+      setInterval(() => this.#holder.send({ kind: 'tick' }), HOLDER_TICK_MS),
+    ];
+  }
+
+  /**
+   * Takes one token of an account.
+   *
+   * @param requestId - identifier of the root request
+   * @param account - the account that pays
+   * @returns nothing when the request may go on, or the refusal
+   */
+  spend(requestId: RequestId, account: AccountName): ResultAsync<void, Refusal> {
+    const reply = new Promise<Result<void, Refusal>>((resolve) => {
+      this.#waiting.set(requestId, resolve);
+    });
+    this.#wallet.send({ kind: 'spend', requestId, account });
+    return new ResultAsync(reply);
+  }
+
+  /**
+   * Applies a configuration to the wallet and to the seat.
+   *
+   * @param configuration - the configuration in force from now on
+   */
+  configure(configuration: Configuration): void {
+    this.#wallet.send({ kind: 'configured', configuration });
+    this.#holder.send({ kind: 'configured', configuration });
+  }
+
+  /**
+   * Tells the holder of the seat something about its surroundings.
+   *
+   * @param message - a sign of the service or of another node, or a late wake-up
+   */
+  tellHolder(
+    message: Extract<
+      HolderMessage,
+      { kind: 'service-heard' | 'zone-heard' | 'incarnation-heard' | 'woke-late' }
+    >,
+  ): void {
+    this.#holder.send(message);
+  }
+
+  /**
+   * Handles a request for tokens of another entry.
+   *
+   * @param peer - the entry
+   * @param draw - its request
+   */
+  draw(peer: BackendServerName, draw: Draw): void {
+    this.#holder.send({ kind: 'draw', peer, draw });
+  }
+
+  /**
+   * Handles the reply of a holder.
+   *
+   * @param seat - the holder's seat
+   * @param grant - its grant
+   */
+  granted(seat: BackendServerName, grant: Grant): void {
+    this.#wallet.send({ kind: 'granted', seat, grant });
+  }
+
+  /**
+   * Handles the report of another entry.
+   *
+   * @param peer - the entry
+   * @param settlement - what it spent and returns
+   */
+  settled(peer: BackendServerName, settlement: Settlement): void {
+    this.#holder.send({ kind: 'settled', peer, settlement });
+  }
+
+  /**
+   * Tells the wallet that no message reaches a seat any more.
+   *
+   * @param seat - the seat
+   */
+  seatLost(seat: BackendServerName): void {
+    this.#wallet.send({ kind: 'seat-lost', seat });
+  }
+
+  /** Hands unspent tokens back. */
+  stop(): void {
+    this.#wallet.send({ kind: 'stop' });
+  }
+
+  /** Stops the timers. */
+  close(): void {
+    this.#tickers.forEach((ticker) => clearInterval(ticker));
+  }
+
+  #performWallet(effect: WalletEffect): void {
+    switch (effect.kind) {
+      case 'admit':
+        this.#reply(effect.requestId, ok(undefined));
+        break;
+      case 'refuse':
+        this.#reply(effect.requestId, err(refusal('rateExceeded', effect.retryAfterMs)));
+        break;
+      case 'send-draw':
+        this.#sendDraw(effect.seat, effect.draw);
+        break;
+      case 'send-settlement':
+        this.#sendSettlement(effect.seat, effect.settlement);
+        break;
+      case 'violation':
+        this.#options.report(effect);
+        break;
+    }
+  }
+
+  #performHolder(effect: HolderEffect): void {
+    switch (effect.kind) {
+      case 'grant':
+        if (effect.peer === this.#options.identity.node) {
+          this.#wallet.send({ kind: 'granted', seat: effect.peer, grant: effect.grant });
+        } else {
+          // A grant that cannot be sent is lost credit, which keeps the bound.
+          this.#options.send(effect.peer, effect.grant);
+        }
+        break;
+      case 'violation':
+        this.#options.report(effect);
+        break;
+    }
+  }
+
+  #sendDraw(seat: BackendServerName, draw: Draw): void {
+    const { identity, send } = this.#options;
+    if (seat === identity.node) this.#holder.send({ kind: 'draw', peer: seat, draw });
+    else if (!send(seat, draw)) this.#wallet.send({ kind: 'seat-lost', seat });
+  }
+
+  #sendSettlement(seat: BackendServerName, settlement: Settlement): void {
+    const { identity, send } = this.#options;
+    if (seat === identity.node) this.#holder.send({ kind: 'settled', peer: seat, settlement });
+    else send(seat, settlement);
+  }
+
+  #reply(requestId: RequestId, result: Result<void, Refusal>): void {
+    this.#waiting.get(requestId)?.(result);
+    this.#waiting.delete(requestId);
+  }
+}
--- /dev/null
+++ b/src/runtime/entry-task.ts
@@ -0,0 +1,218 @@
+import type { ResultAsync } from 'neverthrow';
+import { resultCode, type CodeName } from '../core/errors/registry.js';
+import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Call, Caller, Header, Outcome } from '../core/model/call.js';
+import type { RequestId } from '../core/model/names.js';
+import type { Clock, Milliseconds } from '../core/model/time.js';
+import type { Prepared, RawRequest, Refusal } from '../core/pipeline/exchange.js';
+import type { Metrics } from './metrics.js';
+import type { OrderTask } from './order-task.js';
+import type { Placed, Placement } from './placement.js';
+import type { ChildEnd, RunTask } from './run-task.js';
+
+/** What the entry hands to its front end. */
+export interface EntryReply {
+  readonly requestId: RequestId;
+  readonly code: CodeName;
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  /** True only if the request certainly reached no backend server. */
+  readonly isNotRun: boolean;
+  readonly retryAfterMs: Milliseconds;
+  readonly orderId: string | null;
+}
+
+/** What the entry needs of its node. */
+export interface EntryTaskOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly prepare: (request: RawRequest) => ResultAsync<Prepared, Refusal>;
+  readonly placement: Placement;
+  readonly orders: OrderTask;
+  readonly runs: RunTask;
+  /** Learns from the end of a root request. */
+  readonly rootEnded: (call: Call, placed: Placed) => void;
+  /** Cancels a send at the gate that holds it. */
+  readonly cancelAt: (peer: string, sendId: string) => void;
+}
+
+const MIN_SERVER_ERROR = 500;
+
+function hasSucceeded(outcome: Outcome): boolean {
+  return outcome.kind === 'answered' && outcome.status < MIN_SERVER_ERROR;
+}
+
+function codeOf(outcome: Outcome): CodeName {
+  return outcome.kind === 'answered' ? 'ok' : outcome.code;
+}
+
+function bodyOf(requestId: RequestId, code: CodeName): Uint8Array {
+  const { number, title, message, hint } = resultCode(code);
+  return Buffer.from(JSON.stringify({ code: number, title, message, hint, requestId }));
+}
+
+/** Owner of the requests of callers: prepares, places and answers them. */
+export class EntryTask {
+  readonly #options: EntryTaskOptions;
+
+  /** Calls that have not ended, for cancellation and for a stop that cuts off none. */
+  readonly #open = new Map<RequestId, Call | null>();
+
+  /**
+   * @param options - the pipeline, placement, orders and what else the entry needs
+   */
+  constructor(options: EntryTaskOptions) {
+    this.#options = options;
+  }
+
+  /** @returns the number of requests that have no answer yet */
+  get open(): number {
+    return this.#open.size;
+  }
+
+  /**
+   * Answers a request.
+   *
+   * @param request - the request as the front end received it
+   * @returns the answer for the caller
+   */
+  async handle(request: RawRequest): Promise<EntryReply> {
+    this.#open.set(request.requestId, null);
+    const prepared = await this.#options.prepare(request);
+    const reply = await prepared.match(
+      (ready) => this.#place(ready, request),
+      async (refused) => this.#refuse(request, refused),
+    );
+    this.#open.delete(request.requestId);
+    this.#options.metrics.answers.inc({ code: reply.code });
+    const durationMs = this.#options.clock.now() - request.receivedAt;
+    this.#options.metrics.duration.observe(durationMs / 1000);
+    return reply;
+  }
+
+  /**
+   * Cancels a request whose caller went away. Orders are not cancelled: their outcome is
+   * remembered for a repetition.
+   *
+   * @param requestId - identifier of the request
+   */
+  cancel(requestId: RequestId): void {
+    const call = this.#open.get(requestId);
+    if (call === undefined || call === null || !call.idempotent) return;
+    const holder = this.#options.placement.holderOf(requestId);
+    if (holder !== null) this.#options.cancelAt(holder.peer, holder.id);
+  }
+
+  async #place(prepared: Prepared, request: RawRequest): Promise<EntryReply> {
+    const { call, origin } = prepared;
+    this.#open.set(call.requestId, call);
+    const placed = await this.#run(prepared);
+    switch (origin.kind) {
+      case 'root':
+        this.#options.rootEnded(call, placed);
+        break;
+      case 'nested':
+        this.#options.runs.endChild(this.#childEnd(call, origin.parentId, placed));
+        break;
+    }
+    return this.#answer(call, placed.outcome, request);
+  }
+
+  #run({ call, origin, orderId }: Prepared): Promise<Placed> {
+    const { placement, orders } = this.#options;
+    if (call.idempotent) return placement.place(call);
+    if (orderId !== null) return orders.run(call, orderId);
+    switch (origin.kind) {
+      case 'nested':
+        return orders.runNested(call, origin.parentId);
+      case 'root':
+        return orders.run(call, orders.issue(call.caller));
+    }
+  }
+
+  #childEnd(
+    call: Call,
+    parentId: RequestId,
+    { outcome, retriesSpent, feedback }: Placed,
+  ): ChildEnd {
+    return {
+      parentId,
+      childId: call.requestId,
+      succeeded: hasSucceeded(outcome),
+      retriesSpent,
+      feedback,
+    };
+  }
+
+  #answer(call: Call, outcome: Outcome, request: RawRequest): EntryReply {
+    const { requestId } = call;
+    const code = codeOf(outcome);
+    const reply: EntryReply =
+      outcome.kind === 'answered'
+        ? {
+            requestId,
+            code,
+            status: outcome.status,
+            headers: outcome.headers,
+            body: outcome.body,
+            isNotRun: false,
+            retryAfterMs: 0,
+            orderId: null,
+          }
+        : this.#errorReply(requestId, code, {
+            isNotRun: outcome.kind === 'refused' && code !== 'orderMismatch',
+            retryAfterMs: outcome.kind === 'refused' ? outcome.retryAfterMs : 0,
+          });
+    this.#logAnswer(call, reply, request);
+    return reply;
+  }
+
+  #refuse(request: RawRequest, refused: Refusal): EntryReply {
+    const { requestId } = request;
+    const { code, retryAfterMs, orderFor } = refused;
+    this.#options.log.write({ kind: 'refusal', requestId, code, retryAfterMs });
+    const orderId = orderFor === undefined ? null : this.#options.orders.issue(orderFor);
+    // An earlier request with the same identifier may have run; only its home can say "not run".
+    const hasOrderId = request.headers.some(([name]) => name === 'almondhoist-order-id');
+    return {
+      ...this.#errorReply(requestId, code, { isNotRun: !hasOrderId, retryAfterMs }),
+      orderId,
+    };
+  }
+
+  #errorReply(
+    requestId: RequestId,
+    code: CodeName,
+    options: { readonly isNotRun: boolean; readonly retryAfterMs: Milliseconds },
+  ): EntryReply {
+    return {
+      requestId,
+      code,
+      status: resultCode(code).httpStatus ?? MIN_SERVER_ERROR,
+      headers: [['content-type', 'application/json']],
+      body: bodyOf(requestId, code),
+      isNotRun: options.isNotRun,
+      retryAfterMs: options.retryAfterMs,
+      orderId: null,
+    };
+  }
+
+  #logAnswer(call: Call, { code, status }: EntryReply, request: RawRequest): void {
+    const { requestId, rootId, caller, service } = call;
+    const subject: Subject = { requestId, rootId, caller, service };
+    const durationMs = this.#options.clock.now() - request.receivedAt;
+    this.#options.log.write({ kind: 'entry-answer', ...subject, code, status, durationMs });
+  }
+
+  /**
+   * Issues order identifiers beforehand.
+   *
+   * @param caller - the caller who will use them
+   * @returns one identifier
+   */
+  issueOrder(caller: Caller): string {
+    return this.#options.orders.issue(caller);
+  }
+}
--- /dev/null
+++ b/src/runtime/order-task.ts
@@ -0,0 +1,202 @@
+import { randomBytes } from 'node:crypto';
+import type { CodeName } from '../core/errors/registry.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Log } from '../core/logs/log-entry.js';
+import type { Call, Caller, Outcome } from '../core/model/call.js';
+import type { BackendServerName, RequestId } from '../core/model/names.js';
+import type { Clock } from '../core/model/time.js';
+import { OrderIdentity, type OrderClaim } from '../core/order/order-id.js';
+import { decideOrders, initialOrderLedger, type OrderLedger } from '../core/order/order-ledger.js';
+import type { OrderEffect, OrderMessage } from '../core/order/order-message.js';
+import type { Attempt } from '../core/pipeline/next-attempt.js';
+import type { Report } from '../core/promises/report.js';
+import { Task } from '../core/task/task.js';
+import type { Placed } from './placement.js';
+
+/** What orders need of their node. */
+export interface OrderTaskOptions {
+  readonly identity: Identity;
+  readonly secret: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly report: Report;
+  /** Sends a call to gates; used for orders of which this node is the home. */
+  readonly place: (call: Call) => Promise<Placed>;
+  /** Sends an order to the node that remembers it. */
+  readonly sendHome: (home: BackendServerName, call: Call, orderId: string) => Promise<Attempt>;
+}
+
+interface Waiting {
+  readonly call: Call;
+  readonly settle: (placed: Placed) => void;
+}
+
+const TICK_INTERVAL_MS = 1000;
+const RANDOM_BYTES = 16;
+
+function withoutCost(outcome: Outcome): Placed {
+  return { outcome, retriesSpent: 0, feedback: [] };
+}
+
+/** An order that is unknown here, or whose answer was dropped, may have run. */
+function rejection(code: CodeName): Outcome {
+  return code === 'orderUnknown' || code === 'orderAnswerDropped'
+    ? { kind: 'failed', code }
+    : { kind: 'refused', code, retryAfterMs: 0 };
+}
+
+/** Owner of the memory of non-idempotent requests. */
+export class OrderTask {
+  readonly #options: OrderTaskOptions;
+
+  readonly #identity: OrderIdentity;
+
+  readonly #task: Task<OrderLedger, OrderMessage, OrderEffect>;
+
+  readonly #waiting = new Map<RequestId, Waiting>();
+
+  readonly #ticker: NodeJS.Timeout;
+
+  /**
+   * @param options - identity, secret, clock and how to send
+   */
+  constructor(options: OrderTaskOptions) {
+    this.#options = options;
+    this.#identity = new OrderIdentity(options.secret);
+    this.#task = new Task({
+      initial: initialOrderLedger(),
+      decide: decideOrders,
+      clock: options.clock,
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#ticker = setInterval(() => this.#task.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  /**
+   * Issues an identifier of which this node is the home.
+   *
+   * @param caller - the caller who will use it
+   * @returns text for the `almondhoist-order-id` header
+   */
+  issue(caller: Caller): string {
+    const { identity, clock } = this.#options;
+    const claim: OrderClaim = {
+      home: identity.node,
+      homeIncarnation: identity.incarnation,
+      caller,
+      issuedAt: clock.now(),
+    };
+    return this.#identity.issue(claim, randomBytes(RANDOM_BYTES));
+  }
+
+  /**
+   * Runs an order at most once, here or at the node that remembers it.
+   *
+   * @param call - the call of this request
+   * @param orderId - identifier that the caller sent
+   * @returns what became of the order
+   */
+  async run(call: Call, orderId: string): Promise<Placed> {
+    const claim = this.#identity.verify(orderId, call.caller);
+    if (claim.isErr()) {
+      return withoutCost({ kind: 'refused', code: claim.error, retryAfterMs: 0 });
+    }
+    const { home } = claim.value;
+    const { identity, log, sendHome } = this.#options;
+    if (home === identity.node) return this.runHere(call, orderId);
+    const { requestId, rootId, caller, service } = call;
+    const code = 'chosenHome';
+    log.write({ kind: 'placement', requestId, rootId, caller, service, orderId, home, code });
+    return this.#settleRemote(await sendHome(home, call, orderId));
+  }
+
+  /**
+   * Runs an order of which this node is the home.
+   *
+   * @param call - the call of this request
+   * @param orderId - identifier that names this node
+   * @returns what became of the order
+   */
+  async runHere(call: Call, orderId: string): Promise<Placed> {
+    const { identity, clock } = this.#options;
+    const claim = this.#identity.verify(orderId, call.caller);
+    if (claim.isErr()) {
+      return withoutCost({ kind: 'refused', code: claim.error, retryAfterMs: 0 });
+    }
+    const { home, homeIncarnation, issuedAt } = claim.value;
+    if (home !== identity.node || homeIncarnation !== identity.incarnation) {
+      return withoutCost({ kind: 'failed', code: 'orderUnknown' });
+    }
+    return this.#begin(call, orderId, clock.now() - issuedAt);
+  }
+
+  /**
+   * Runs a deeper non-idempotent call at most once within the run that makes it. It needs no
+   * identifier from the backend server: the running call and the content identify it.
+   *
+   * @param call - the deeper call
+   * @param parentId - the running call that makes it
+   * @returns what became of it
+   */
+  async runNested(call: Call, parentId: RequestId): Promise<Placed> {
+    return this.#begin(call, `nested:${parentId}:${call.fingerprint}`, 0);
+  }
+
+  /** Stops the timer. */
+  close(): void {
+    clearInterval(this.#ticker);
+  }
+
+  #begin(call: Call, orderId: string, ageMs: number): Promise<Placed> {
+    const { requestId, fingerprint } = call;
+    return new Promise((resolve) => {
+      this.#waiting.set(requestId, { call, settle: resolve });
+      this.#task.send({ kind: 'begin', orderId, ageMs, fingerprint, requestId });
+    });
+  }
+
+  #settleRemote(attempt: Attempt): Placed {
+    switch (attempt.kind) {
+      case 'replied': {
+        const { outcome, retriesSpent, feedback } = attempt.answer;
+        return { outcome, retriesSpent, feedback };
+      }
+      // An earlier request with the same identifier may have run, so this is no "not run".
+      case 'unsent':
+        return withoutCost({ kind: 'failed', code: 'linkLost' });
+      case 'lost':
+        return withoutCost({ kind: 'failed', code: attempt.code });
+    }
+  }
+
+  #perform(effect: OrderEffect): void {
+    switch (effect.kind) {
+      case 'run':
+        void this.#runOrder(effect.orderId, effect.requestId);
+        break;
+      case 'answer':
+        this.#settle(effect.requestId, withoutCost(effect.outcome));
+        break;
+      case 'reject':
+        this.#settle(effect.requestId, withoutCost(rejection(effect.code)));
+        break;
+      case 'violation':
+        this.#options.report(effect);
+        break;
+    }
+  }
+
+  async #runOrder(orderId: string, requestId: RequestId): Promise<void> {
+    const waiting = this.#waiting.get(requestId);
+    if (waiting === undefined) return;
+    const placed = await this.#options.place(waiting.call);
+    // The request that carried the run gets its cost and feedback; others get the outcome only.
+    this.#settle(requestId, placed);
+    this.#task.send({ kind: 'settled', orderId, requestId, outcome: placed.outcome });
+  }
+
+  #settle(requestId: RequestId, placed: Placed): void {
+    this.#waiting.get(requestId)?.settle(placed);
+    this.#waiting.delete(requestId);
+  }
+}
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -2,11 +2,11 @@
 import type { Identity } from '../core/membership/handshake.js';
 import {
   decideLink,
-  initialLink,
+  initialLinkHealth,
   toPeerClock,
-  type Link,
-  type LinkEffect,
-  type LinkMessage,
+  type LinkHealth,
+  type LinkHealthEffect,
+  type LinkHealthMessage,
 } from '../core/membership/link-health.js';
 import type { Answer, Call } from '../core/model/call.js';
 import type { DocumentHead } from '../core/model/document.js';
@@ -60,7 +60,7 @@
 
   readonly #calls = new OutstandingCalls();
 
-  readonly #health: Task<Link, LinkMessage, LinkEffect>;
+  readonly #health: Task<LinkHealth, LinkHealthMessage, LinkHealthEffect>;
 
   readonly #ticker: NodeJS.Timeout;
 
@@ -74,7 +74,7 @@
   constructor(options: PeerLinkOptions) {
     this.#options = options;
     this.#health = new Task({
-      initial: initialLink(options.clock.now()),
+      initial: initialLinkHealth,
       decide: decideLink,
       clock: options.clock,
       perform: (effect) => this.#perform(effect),
@@ -109,9 +109,7 @@
    * @returns false when nothing was sent
    */
   send(message: PeerMessage): boolean {
-    const isSent = this.#socket.send(message);
-    if (isSent) this.#health.send({ kind: 'frame-sent' });
-    return isSent;
+    return this.#socket.send(message);
   }
 
   /**
@@ -216,7 +214,7 @@
     if (this.#isReady) this.#options.onEvent({ kind: 'opened', identity }, this);
   }
 
-  #perform(effect: LinkEffect): void {
+  #perform(effect: LinkHealthEffect): void {
     switch (effect.kind) {
       case 'send-ping':
         this.#socket.send({ kind: 'ping', sentAt: effect.sentAt, ...this.#options.heartbeat() });
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -162,7 +162,7 @@
       candidates: considered,
       ownZone: zone,
       ownRegion: region(),
-      inFlight: this.#inFlight,
+      inFlight: (backendServer) => this.#inFlight.get(backendServer) ?? 0,
       excluded: progress.excluded,
       random,
       now: clock.now(),
--- /dev/null
+++ b/src/runtime/spread-task.ts
@@ -0,0 +1,163 @@
+import { ok, type Result } from 'neverthrow';
+import { fromDocument } from '../core/configuration/document.js';
+import { formatFault, type Fault } from '../core/errors/fault.js';
+import type { Log } from '../core/logs/log-entry.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Document } from '../core/model/document.js';
+import type { BackendServerName } from '../core/model/names.js';
+import type { PeerMessage } from '../core/model/peer-message.js';
+import type { Clock } from '../core/model/time.js';
+import type { Report } from '../core/promises/report.js';
+import {
+  decideSpread,
+  heads,
+  initialSpread,
+  serviceAgeMs,
+  type SpreadState,
+} from '../core/spread/spread.js';
+import type { SpreadEffect, SpreadMessage } from '../core/spread/spread-message.js';
+import { Task } from '../core/task/task.js';
+import type { Metrics } from './metrics.js';
+import type { HeartbeatContent } from './peer-link.js';
+import { ServiceClient, type ServiceReply } from './service-client.js';
+
+/** What the spread needs of its node. */
+export interface SpreadTaskOptions {
+  readonly identity: Identity;
+  readonly urls: readonly string[];
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly report: Report;
+  readonly random: () => number;
+  readonly send: (peer: BackendServerName, message: PeerMessage) => boolean;
+  readonly apply: (document: Document) => void;
+  readonly ready: () => void;
+  /** The configuration service answered. */
+  readonly serviceHeard: () => void;
+}
+
+const TICK_INTERVAL_MS = 100;
+
+function check(document: Document): Result<void, readonly Fault[]> {
+  return document.topic === 'configuration' ? fromDocument(document).map(() => undefined) : ok();
+}
+
+/** Owner of the documents in force and of the client of the configuration service. */
+export class SpreadTask {
+  readonly #options: SpreadTaskOptions;
+
+  readonly #task: Task<SpreadState, SpreadMessage, SpreadEffect>;
+
+  readonly #client: ServiceClient;
+
+  readonly #ticker: NodeJS.Timeout;
+
+  /**
+   * @param options - identity, service URLs, and what the node does with documents
+   */
+  constructor(options: SpreadTaskOptions) {
+    this.#options = options;
+    const { identity, random, clock, urls } = options;
+    const spreadOptions = { node: identity.node, zone: identity.zone, check, random };
+    this.#client = new ServiceClient(urls, (reply) => this.#receive(reply));
+    this.#task = new Task({
+      initial: initialSpread(spreadOptions),
+      decide: decideSpread(spreadOptions),
+      clock,
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#ticker = setInterval(() => this.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  /** @returns what the next heartbeat tells peers */
+  get heartbeat(): HeartbeatContent {
+    const now = this.#options.clock.now();
+    return { heads: heads(this.#task.state), serviceAgeMs: serviceAgeMs(this.#task.state, now) };
+  }
+
+  /**
+   * Handles a message of peers or of the membership.
+   *
+   * @param message - the message
+   */
+  send(message: SpreadMessage): void {
+    this.#task.send(message);
+  }
+
+  /** Stops the timer and all reads. */
+  close(): void {
+    clearInterval(this.#ticker);
+    this.#client.close();
+  }
+
+  #receive(reply: ServiceReply): void {
+    switch (reply.kind) {
+      case 'value':
+        this.#options.serviceHeard();
+        this.send({ kind: 'service-value', document: reply.document });
+        break;
+      case 'unchanged':
+        this.#options.serviceHeard();
+        this.send({ kind: 'service-unchanged', topic: reply.topic });
+        break;
+      case 'failed':
+        this.#event('serviceUnreachable', { reason: `${reply.topic}: ${reply.reason}` });
+        this.send({ kind: 'service-failed', topic: reply.topic });
+        break;
+    }
+  }
+
+  #perform(effect: SpreadEffect): void {
+    switch (effect.kind) {
+      case 'read-service':
+        this.#options.metrics.serviceReads.inc({ kind: 'read' });
+        this.#client.read(effect.topic);
+        break;
+      case 'watch-service':
+        this.#options.metrics.serviceReads.inc({ kind: 'watch' });
+        this.#client.watch(effect.topic);
+        break;
+      case 'send':
+        this.#options.send(effect.peer, effect.message);
+        break;
+      case 'apply':
+        this.#apply(effect.document);
+        break;
+      case 'rejected':
+        this.#event('documentRejected', {
+          topic: effect.head.topic,
+          version: effect.head.version,
+          reason: effect.faults.map(formatFault).join('; '),
+        });
+        break;
+      case 'ignored-older':
+        this.#event('documentOlder', {
+          topic: effect.head.topic,
+          version: effect.head.version,
+        });
+        break;
+      case 'ready':
+        this.#options.ready();
+        break;
+      case 'violation':
+        this.#options.report(effect);
+        break;
+    }
+  }
+
+  #apply(document: Document): void {
+    const { topic, version } = document;
+    this.#event('documentApplied', { topic, version });
+    this.#options.metrics.documentVersion.set({ topic }, version);
+    this.#options.apply(document);
+  }
+
+  #event(
+    code: 'serviceUnreachable' | 'documentRejected' | 'documentOlder' | 'documentApplied',
+    details: Readonly<Record<string, string | number>>,
+  ): void {
+    this.#options.metrics.events.inc({ code });
+    this.#options.log.write({ kind: 'event', code, details });
+  }
+}
