Check a changed document faster and keep dot segments off wildcards

DocumentReader keeps the entries that did not change, and the comparison of routes and references does less work.

A request such as /points/..%2fadmin matched /points/*, while the backend server may resolve it to another path; wildcards no longer match dot segments in any encoding.

The diff warns of a service that loses its last backend server in a zone that is in.

--- a/src/core/configuration/check-consistency.ts
+++ b/src/core/configuration/check-consistency.ts
@@ -2,7 +2,7 @@
 import type { Account, BackendServer, Route } from '../model/configuration.js';
 import { faultAt, placeIn, type Place } from '../toml/read-table.js';
 import type { Entries, Placed } from './read-entries.js';
-import { matchEqually, pathSegments } from './route-path.js';
+import { countLiterals, doOverlap, pathSegments } from './route-path.js';
 import type { SourceSet } from './source-set.js';
 
 /** Paths below /almondhoist/ belong to the nodes themselves. */
@@ -82,22 +82,29 @@
   ]);
 }
 
+interface Pattern {
+  readonly route: Route;
+  readonly segments: readonly string[];
+}
+
 function ambiguityFaults(routes: readonly Placed<Route>[]): readonly Fault[] {
-  // Only routes with the same service, method and number of segments can meet.
-  const groups = new Map<string, Placed<Route>[]>();
-  return routes.flatMap((route) => {
-    const { service, method, path, name } = route.value;
-    const key = `${service} ${method} ${pathSegments(path).length}`;
-    const earlier = groups.get(key) ?? [];
-    groups.set(key, [...earlier, route]);
-    return earlier
-      .filter((other) => other.value.name !== name && matchEqually(other.value.path, path))
-      .map((other) =>
-        inconsistent(
-          placeIn(route.place, 'path'),
-          `${path} and ${other.value.path} of route ${other.value.name} match the same ${method} requests of ${service} equally; expected one with more literal segments`,
-        ),
-      );
+  // Of routes with unequal numbers of literal segments, one is more specific.
+  const groups = new Map<string, Pattern[]>();
+  return routes.flatMap(({ value: route, place }) => {
+    const segments = pathSegments(route.path);
+    const key = `${route.service} ${route.method} ${segments.length} ${countLiterals(segments)}`;
+    const group = groups.get(key) ?? [];
+    const rivals = group.filter(
+      (other) => other.route.name !== route.name && doOverlap(other.segments, segments),
+    );
+    group.push({ route, segments });
+    groups.set(key, group);
+    return rivals.map((other) =>
+      inconsistent(
+        placeIn(place, 'path'),
+        `${route.path} and ${other.route.path} of route ${other.route.name} match the same ${route.method} requests of ${route.service} equally; expected one with more literal segments`,
+      ),
+    );
   });
 }
 
--- a/src/core/configuration/check-references.ts
+++ b/src/core/configuration/check-references.ts
@@ -3,11 +3,7 @@
 import type { Entries } from './read-entries.js';
 import type { Section, SourceSet } from './source-set.js';
 
-interface Reference {
-  readonly section: Section;
-  readonly name: string;
-  readonly place: Place;
-}
+type Names = Readonly<Record<Section, ReadonlySet<string>>>;
 
 const EXPECTED: Readonly<Record<Section, string>> = {
   zones: 'an availability zone',
@@ -17,31 +13,16 @@
   routes: 'a route',
 };
 
-function references(entries: Entries): readonly Reference[] {
-  const { seats, backendServers, accounts, routes } = entries;
-  return [
-    ...(seats?.value ?? []).map((name) => ({
-      section: 'backend_servers' as const,
-      name,
-      place: seats?.place ?? { source: 'set', path: 'seats' },
-    })),
-    ...backendServers.flatMap(({ value, place }) => [
-      { section: 'zones' as const, name: value.zone, place: placeIn(place, 'zone') },
-      { section: 'services' as const, name: value.service, place: placeIn(place, 'service') },
-    ]),
-    ...accounts.flatMap(({ value, place }) =>
-      value.services.map((name) => ({
-        section: 'services' as const,
-        name,
-        place: placeIn(place, 'services'),
-      })),
-    ),
-    ...routes.map(({ value, place }) => ({
-      section: 'services' as const,
-      name: value.service,
-      place: placeIn(place, 'service'),
-    })),
-  ];
+function definedNames({ entries }: SourceSet): Names {
+  const names = {
+    zones: new Set<string>(),
+    services: new Set<string>(),
+    backend_servers: new Set<string>(),
+    accounts: new Set<string>(),
+    routes: new Set<string>(),
+  };
+  entries.forEach(({ section, name }) => names[section].add(name));
+  return names;
 }
 
 /**
@@ -53,10 +34,29 @@
  * @returns the faults
  */
 export function referenceFaults(set: SourceSet, entries: Entries): readonly Fault[] {
-  const defined = new Set(set.entries.map(({ section, name }) => `${section}/${name}`));
-  return references(entries)
-    .filter(({ section, name }) => !defined.has(`${section}/${name}`))
-    .map(({ section, name, place }) =>
-      faultAt('referenceUnknown', place, { found: name, expected: EXPECTED[section] }),
-    );
+  const defined = definedNames(set);
+  const unknown = (
+    section: Section,
+    names: readonly string[],
+    place: Place,
+    field: string,
+  ): readonly Fault[] =>
+    names
+      .filter((name) => !defined[section].has(name))
+      .map((found) =>
+        faultAt('referenceUnknown', placeIn(place, field), { found, expected: EXPECTED[section] }),
+      );
+  const { seats, backendServers, accounts, routes } = entries;
+  const root = { source: seats?.place.source ?? '', path: '' };
+  return [
+    ...unknown('backend_servers', seats?.value ?? [], root, 'seats'),
+    ...backendServers.flatMap(({ value, place }) => [
+      ...unknown('zones', [value.zone], place, 'zone'),
+      ...unknown('services', [value.service], place, 'service'),
+    ]),
+    ...accounts.flatMap(({ value, place }) =>
+      unknown('services', value.services, place, 'services'),
+    ),
+    ...routes.flatMap(({ value, place }) => unknown('services', [value.service], place, 'service')),
+  ];
 }
--- a/src/core/configuration/diff.ts
+++ b/src/core/configuration/diff.ts
@@ -40,6 +40,10 @@
   return when(before !== after, `${subject} changes from ${before} to ${after}`);
 }
 
+function keyCount(hashes: readonly string[]): string {
+  return hashes.length === 1 ? '1 key' : `${hashes.length} keys`;
+}
+
 function shortHash(hash: string): string {
   return `${hash.slice(0, 12)}...`;
 }
@@ -92,10 +96,10 @@
 
 const accountChanges: Descriptions<Account> = {
   added: ({ name, keyHashes, ratePerSecond, burst, services }) => [
-    `account ${name} is added with ${keyHashes.length} keys, ${ratePerSecond} requests per second, a burst of ${burst} and access to: ${services.join(', ') || 'no service'}`,
+    `account ${name} is added with ${keyCount(keyHashes)}, ${ratePerSecond} requests per second, a burst of ${burst} and access to: ${services.join(', ') || 'no service'}`,
   ],
   removed: ({ name, keyHashes }) => [
-    `account ${name} is removed and its ${keyHashes.length} keys are withdrawn`,
+    `account ${name} is removed and ${keyCount(keyHashes)} withdrawn`,
   ],
   changed: (before, after) => [
     ...without(before.keyHashes, after.keyHashes).map(
@@ -194,6 +198,16 @@
   ];
 }
 
+/** Names the services that have backend servers, but none in a zone that is in. */
+function unreachableServices({ zones, backendServers }: Configuration): readonly string[] {
+  const zonesIn = new Set(zones.filter(({ state }) => state === 'in').map(({ name }) => name));
+  const reachable = backendServers.filter(({ zone }) => zonesIn.has(zone));
+  return without(
+    [...new Set(backendServers.map(({ service }) => service))],
+    reachable.map(({ service }) => service),
+  );
+}
+
 /**
  * Says in words what the change from one configuration to another does.
  *
@@ -210,5 +224,9 @@
     ...compareByName(older.backendServers, newer.backendServers, backendServerChanges),
     ...compareByName(older.accounts, newer.accounts, accountChanges),
     ...compareByName(older.routes, newer.routes, routeChanges),
+    ...without(unreachableServices(newer), unreachableServices(older)).map(
+      (service) =>
+        `warning: service ${service} has no backend server left in an availability zone that is in`,
+    ),
   ];
 }
--- a/src/core/configuration/document.ts
+++ b/src/core/configuration/document.ts
@@ -55,60 +55,80 @@
 }
 
 interface Opened {
+  readonly text: string;
   readonly entries: readonly SourceEntry[];
   readonly faults: readonly Fault[];
 }
 
-function openEntry([key, text]: readonly [string, string]): Opened {
+function openEntry(key: string, text: string): Opened {
   const [first = '', ...rest] = key.split('/');
   const name = rest.join('/');
   const section = SECTIONS.find((candidate) => candidate === first);
   const place = { source: SOURCE, path: key };
   if (section === undefined || name === '') {
     const expected = [SEATS_KEY, ...SECTIONS.map((item) => `${item}/NAME`)].join(', ');
-    return { entries: [], faults: [faultAt('fieldUnknown', place, { expected })] };
+    return { text, entries: [], faults: [faultAt('fieldUnknown', place, { expected })] };
+  }
+  return { text, entries: [{ section, name, place, value: parseJson(text) }], faults: [] };
+}
+
+function headFaults(document: Document): readonly Fault[] {
+  const digest = documentDigest(document.entries);
+  const fault = (path: string, found: string, expected: string) =>
+    faultAt('valueInvalid', { source: SOURCE, path }, { found, expected });
+  return [
+    ...(document.topic === 'configuration'
+      ? []
+      : [fault('topic', document.topic, 'configuration')]),
+    ...(digest === document.digest
+      ? []
+      : [fault('digest', document.digest, `${digest}, the digest of the entries`)]),
+  ];
+}
+
+/**
+ * Reads successive versions of the configuration. Every version is checked as a whole; entries
+ * that have not changed since the version before are not parsed again.
+ */
+export class DocumentReader {
+  #opened: ReadonlyMap<string, Opened> = new Map();
+
+  /**
+   * Checks a document as strictly as a file set and turns it into a configuration.
+   *
+   * @param document - a document from the service or a peer
+   * @returns the configuration, or all faults at once
+   */
+  read(document: Document): Result<Configuration, readonly Fault[]> {
+    const seats = document.entries.get(SEATS_KEY);
+    const opened = new Map<string, Opened>();
+    document.entries.forEach((text, key) => {
+      if (key !== SEATS_KEY) {
+        const earlier = this.#opened.get(key);
+        opened.set(key, earlier?.text === text ? earlier : openEntry(key, text));
+      }
+    });
+    this.#opened = opened;
+    const parts = [...opened.values()];
+    const set: SourceSet = {
+      revisions: [{ place: { source: SOURCE, path: 'revision' }, value: document.version }],
+      seats:
+        seats === undefined
+          ? []
+          : [{ place: { source: SOURCE, path: SEATS_KEY }, value: parseJson(seats) }],
+      entries: parts.flatMap(({ entries }) => entries),
+      isComplete: true,
+    };
+    return checkSet(set, [...parts.flatMap(({ faults }) => faults), ...headFaults(document)]);
   }
-  return { entries: [{ section, name, place, value: parseJson(text) }], faults: [] };
 }
 
 /**
- * Checks a document as strictly as a file set and turns it into a configuration.
+ * Checks one document as strictly as a file set and turns it into a configuration.
  *
  * @param document - a document from the service or a peer
  * @returns the configuration, or all faults at once
  */
 export function fromDocument(document: Document): Result<Configuration, readonly Fault[]> {
-  const seats = document.entries.get(SEATS_KEY);
-  const opened = [...document.entries].filter(([key]) => key !== SEATS_KEY).map(openEntry);
-  const set: SourceSet = {
-    revisions: [{ place: { source: SOURCE, path: 'revision' }, value: document.version }],
-    seats:
-      seats === undefined
-        ? []
-        : [{ place: { source: SOURCE, path: SEATS_KEY }, value: parseJson(seats) }],
-    entries: opened.flatMap(({ entries }) => entries),
-    isComplete: true,
-  };
-  const digest = documentDigest(document.entries);
-  return checkSet(set, [
-    ...opened.flatMap(({ faults }) => faults),
-    ...(document.topic === 'configuration'
-      ? []
-      : [
-          faultAt(
-            'valueInvalid',
-            { source: SOURCE, path: 'topic' },
-            { found: document.topic, expected: 'configuration' },
-          ),
-        ]),
-    ...(digest === document.digest
-      ? []
-      : [
-          faultAt(
-            'valueInvalid',
-            { source: SOURCE, path: 'digest' },
-            { found: document.digest, expected: `${digest}, the digest of the entries` },
-          ),
-        ]),
-  ]);
+  return new DocumentReader().read(document);
 }
--- a/src/core/configuration/entry-fields.ts
+++ b/src/core/configuration/entry-fields.ts
@@ -9,6 +9,7 @@
   textField,
   withDefault,
 } from '../toml/field.js';
+import { isPlainSegment, pathSegments } from './route-path.js';
 
 /** Names become parts of headers, metrics labels and keys of the configuration service. */
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
@@ -73,8 +74,9 @@
   service: nameField,
   method: choiceField(METHODS),
   path: textField(
-    'a path such as /stock/*, without query, empty segments or a slash at the end',
-    (text) => ROUTE_PATH_PATTERN.test(text),
+    'a path such as /stock/*, without query, empty segments, dot segments or a slash at the end',
+    (text) =>
+      ROUTE_PATH_PATTERN.test(text) && (text === '/' || pathSegments(text).every(isPlainSegment)),
   ),
   importance: withDefault(choiceField(IMPORTANCES), 'normal'),
   // Null until the method tells the default.
--- a/src/core/configuration/lookup.ts
+++ b/src/core/configuration/lookup.ts
@@ -7,7 +7,7 @@
   Zone,
 } from '../model/configuration.js';
 import type { AccountName, BackendServerName, ServiceName, ZoneName } from '../model/names.js';
-import { ANY_SEGMENT, pathSegments } from './route-path.js';
+import { ANY_SEGMENT, isPlainSegment, pathSegments } from './route-path.js';
 
 /** Node of a tree of path segments. */
 interface Branch {
@@ -39,12 +39,13 @@
   }
   const literal = branch.children.get(segment);
   const any = branch.children.get(ANY_SEGMENT);
-  // A literal `*` in a request is an ordinary segment, and an empty segment matches no `*`.
+  // A literal `*` in a request is an ordinary segment.
   const byLiteral =
     literal === undefined || segment === ANY_SEGMENT
       ? null
       : findMatch(literal, segments, from + 1);
-  const byAny = any === undefined || segment === '' ? null : findMatch(any, segments, from + 1);
+  const byAny =
+    any === undefined || !isPlainSegment(segment) ? null : findMatch(any, segments, from + 1);
   if (byLiteral === null) {
     return byAny;
   }
--- a/src/core/configuration/read-entries.ts
+++ b/src/core/configuration/read-entries.ts
@@ -75,19 +75,44 @@
     },
   );
 
-function readAll<T>(entries: readonly SourceEntry[], reader: Reader<T>): Read<T> {
-  const results = entries.map((entry) => {
-    const nameFaults = nameField.decode(entry.name).caseOf<readonly Fault[]>({
-      Left: () => [
-        faultAt('valueInvalid', entry.place, { found: entry.name, expected: nameField.expected }),
-      ],
-      Right: () => [],
-    });
-    return reader(entry).match<Read<T>>(
-      (value) => ({ values: [{ value, place: entry.place }], faults: nameFaults }),
-      (faults) => ({ values: [], faults: [...nameFaults, ...faults] }),
-    );
+function nameFaults({ name, place }: SourceEntry): readonly Fault[] {
+  return nameField.decode(name).caseOf<readonly Fault[]>({
+    Left: () => [faultAt('valueInvalid', place, { found: name, expected: nameField.expected })],
+    Right: () => [],
   });
+}
+
+/**
+ * An entry never changes, so one that stands in several versions of a document is read once. At
+ * 17,000 entries this is most of the work of a check.
+ */
+function remembered<T>(reader: Reader<T>): (entry: SourceEntry) => Read<T> {
+  const known = new WeakMap<SourceEntry, Read<T>>();
+  return (entry) => {
+    const read =
+      known.get(entry) ??
+      reader(entry).match<Read<T>>(
+        (value) => ({ values: [{ value, place: entry.place }], faults: nameFaults(entry) }),
+        (faults) => ({ values: [], faults: [...nameFaults(entry), ...faults] }),
+      );
+    known.set(entry, read);
+    return read;
+  };
+}
+
+const readers = {
+  zones: remembered(readZone),
+  services: remembered(readService),
+  backendServers: remembered(readBackendServer),
+  accounts: remembered(readAccount),
+  routes: remembered(readRoute),
+};
+
+function readAll<T>(
+  entries: readonly SourceEntry[],
+  reader: (entry: SourceEntry) => Read<T>,
+): Read<T> {
+  const results = entries.map(reader);
   return {
     values: results.flatMap(({ values }) => values),
     faults: results.flatMap(({ faults }) => faults),
@@ -145,11 +170,11 @@
     set.entries.filter((entry) => entry.section === section);
   const revision = readSingle('revision', revisionField, set.revisions, set.isComplete);
   const seats = readSingle('seats', seatsField, set.seats, set.isComplete);
-  const zones = readAll(inSection('zones'), readZone);
-  const services = readAll(inSection('services'), readService);
-  const backendServers = readAll(inSection('backend_servers'), readBackendServer);
-  const accounts = readAll(inSection('accounts'), readAccount);
-  const routes = readAll(inSection('routes'), readRoute);
+  const zones = readAll(inSection('zones'), readers.zones);
+  const services = readAll(inSection('services'), readers.services);
+  const backendServers = readAll(inSection('backend_servers'), readers.backendServers);
+  const accounts = readAll(inSection('accounts'), readers.accounts);
+  const routes = readAll(inSection('routes'), readers.routes);
   return {
     entries: {
       revision: revision.values[0] ?? null,
--- a/src/core/configuration/route-path.ts
+++ b/src/core/configuration/route-path.ts
@@ -13,24 +13,41 @@
 }
 
 /**
- * Tells whether two routes match some request with the same number of literal segments, so that
- * neither is more specific.
+ * Counts the segments that stand for themselves.
  *
- * @param left - path of the one route
- * @param right - path of the other route
- * @returns whether the choice between them would be arbitrary
+ * @param segments - segments of a route
+ * @returns the number of literal segments
  */
-export function matchEqually(left: string, right: string): boolean {
-  const first = pathSegments(left);
-  const second = pathSegments(right);
-  const literals = (segments: readonly string[]) =>
-    segments.filter((segment) => segment !== ANY_SEGMENT).length;
-  return (
-    first.length === second.length &&
-    literals(first) === literals(second) &&
-    first.every(
-      (segment, index) =>
-        segment === ANY_SEGMENT || second[index] === ANY_SEGMENT || segment === second[index],
-    )
-  );
+export function countLiterals(segments: readonly string[]): number {
+  return segments.filter((segment) => segment !== ANY_SEGMENT).length;
+}
+
+/**
+ * Tells whether some path matches two routes.
+ *
+ * @param left - segments of the one route
+ * @param right - as many segments of the other route
+ * @returns whether the routes overlap
+ */
+export function doOverlap(left: readonly string[], right: readonly string[]): boolean {
+  return left.every((segment, index) => {
+    const other = right[index];
+    return segment === other || segment === ANY_SEGMENT || other === ANY_SEGMENT;
+  });
+}
+
+/**
+ * Tells whether a segment of a request may stand for `*`. Backend servers resolve dot segments,
+ * with or without percent-encoding, so such a request would reach another path than its route's.
+ *
+ * @param segment - segment as it stands in the request
+ * @returns false for an empty segment and one that holds a dot segment
+ */
+export function isPlainSegment(segment: string): boolean {
+  const decoded = segment
+    .replace(/%2e/gi, '.')
+    .replace(/%2f/gi, '/')
+    .replace(/%5c/gi, '\\')
+    .split(/[/\\]/);
+  return segment !== '' && !decoded.some((part) => part === '.' || part === '..');
 }
--- a/test/core/configuration/diff.test.ts
+++ b/test/core/configuration/diff.test.ts
@@ -24,13 +24,21 @@
   );
 });
 
-test('added and removed parts are named', async () => {
+test('removed parts and services without backend servers are named', async () => {
   // Guards against an account that vanishes without a line.
   const older = await loadSet('test/fixtures/older-set');
-  const newer = { ...older, revision: 5, accounts: [], routes: older.routes.slice(0, 1) };
+  const backendServers = older.backendServers.filter(({ zone }) => zone === 'east');
+  const zones = older.zones.map((zone) =>
+    zone.name === 'east' ? { ...zone, state: 'out' as const } : zone,
+  );
+  const routes = older.routes.slice(0, 1);
+  const newer = { ...older, revision: 5, zones, backendServers, accounts: [], routes };
   assert.deepEqual(describeChanges(older, newer), [
     'revision goes from 4 to 5',
-    'account mill is removed and its 1 keys are withdrawn',
+    'availability zone east goes out: its backend servers get no new work',
+    'backend server stock-2 of service stock is removed',
+    'account mill is removed and 1 key withdrawn',
     'route cut is removed: PUT /cuts/* of service stock',
+    'warning: service stock has no backend server left in an availability zone that is in',
   ]);
 });
--- a/test/core/configuration/document.test.ts
+++ b/test/core/configuration/document.test.ts
@@ -3,7 +3,11 @@
 import fc from 'fast-check';
 import { bundleDocument, openBundle } from '../../../src/core/configuration/bundle.js';
 import { canonicalJson } from '../../../src/core/configuration/canonical-json.js';
-import { fromDocument, toDocument } from '../../../src/core/configuration/document.js';
+import {
+  DocumentReader,
+  fromDocument,
+  toDocument,
+} from '../../../src/core/configuration/document.js';
 import { MAX_PART_BYTES } from '../../../src/core/configuration/manifest.js';
 import { documentDigest } from '../../../src/core/model/document-digest.js';
 import type { Document } from '../../../src/core/model/document.js';
@@ -90,6 +94,20 @@
   assert.deepEqual([fault?.code, fault?.place], ['valueTooLarge', 'big']);
 });
 
+test('a reader of successive documents finds what a fresh check finds', async () => {
+  // Guards against an entry of an older revision that stays in force.
+  const base = await loadSet('test/fixtures/older-set');
+  const reader = new DocumentReader();
+  const bursts = [10, 10, 0, 30, 10];
+  bursts.forEach((burst, index) => {
+    const accounts = base.accounts.map((account) => ({ ...account, burst }));
+    const routes = base.routes.slice(index % 2);
+    const document = toDocument({ ...base, revision: index + 1, accounts, routes });
+    assert.deepEqual(reader.read(document), fromDocument(document));
+    assert.equal(reader.read(document).isOk(), burst > 0);
+  });
+});
+
 test('a document is checked as strictly as the files', async () => {
   // Guards against a fault that comes in past the check command.
   const document = toDocument(await loadSet('test/fixtures/older-set'));
--- a/test/core/configuration/lookup.test.ts
+++ b/test/core/configuration/lookup.test.ts
@@ -29,6 +29,16 @@
   assert.equal(lookup.route('other', 'PUT', '/a/b/c'), null);
 });
 
+test('a wildcard matches no dot segment in any encoding', () => {
+  // Guards against a request of an open route that the backend server resolves to another path.
+  const lookup = withPaths('/points/*');
+  const paths = ['..', '.', '%2E%2e', '..%2fadmin', 'a%5c..', '%2e.'];
+  paths.forEach((segment) =>
+    assert.equal(lookup.route('stock', 'PUT', `/points/${segment}`), null),
+  );
+  assert.equal(lookup.route('stock', 'PUT', '/points/a..b%2fc')?.name, '/points/*');
+});
+
 test('the demo keys in the README files belong to their accounts', async () => {
   // Guards against examples that nobody can try.
   for (const directory of ['examples/kelpie', 'examples/co-op']) {
