--- a/src/core/admission/concurrency-limit.ts
+++ b/src/core/admission/concurrency-limit.ts
@@ -17,8 +17,11 @@
 
 const BASELINE_FALL_SHARE = 0.3;
 
-/** The baseline follows a lasting rise slowly, so that creeping overload stays visible. */
-const BASELINE_RISE_SHARE = 0.01;
+/**
+ * The baseline follows a lasting rise within minutes. At 0.01, that is within 10 s, it took on the
+ * latency of an overcommitted server, and the limit rose back to the slots.
+ */
+const BASELINE_RISE_SHARE = 0.001;
 
 /** Shortest time until the effect of a lower limit is judged. */
 const TRIAL_MS = 200;
--- /dev/null
+++ b/test/core/retry/run-ledger.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { decideRuns, INITIAL_RUNS } from '../../../src/core/retry/run-ledger.js';
+import type { RunEffect, RunMessage, RunReport } from '../../../src/core/retry/run-message.js';
+import type { Feedback } from '../../../src/core/model/call.js';
+
+/** A ledger with one running call `p`. */
+class Ledger {
+  now = 0;
+
+  #state = INITIAL_RUNS;
+
+  constructor(retries: number, depth = 0) {
+    const caller = { kind: 'anonymous' } as const;
+    const root = { requestId: 'p', rootId: 'p', rootHash: 0.5, caller, depth, retries };
+    this.send({ kind: 'run-started', importance: 'high', deadline: 10_000, ...root });
+  }
+
+  send(message: RunMessage): readonly RunEffect[] {
+    const { state, effects } = decideRuns(this.#state, message, this.now);
+    this.#state = state;
+    return effects;
+  }
+
+  /** Retries of the permitted child, or the code of its refusal. */
+  child(childId: string, fingerprint = childId, parentId = 'p'): number | string {
+    const effect = this.send({ kind: 'child-started', parentId, childId, fingerprint })[0];
+    if (effect?.kind === 'child-permitted') return effect.inheritance.retries;
+    return effect?.kind === 'child-refused' ? effect.code : 'none';
+  }
+
+  childEnded(
+    childId: string,
+    retriesSpent: number | null,
+    succeeded = false,
+    feedback: readonly Feedback[] = [],
+  ): readonly RunEffect[] {
+    const end = { childId, retriesSpent, succeeded, feedback };
+    return this.send({ kind: 'child-ended', parentId: 'p', ...end });
+  }
+
+  end(): RunReport {
+    const effect = this.send({ kind: 'run-ended', requestId: 'p' }).at(-1);
+    assert.ok(effect?.kind === 'run-reported');
+    return effect.report;
+  }
+}
+
+test('a lost answer counts as spent, an unspent reserve comes back', () => {
+  // Guards against retries that are used twice after a lost answer, or lost after a good one.
+  const ledger = new Ledger(4);
+  assert.equal(ledger.child('a'), 2);
+  ledger.childEnded('a', null);
+  assert.equal(ledger.child('b'), 1);
+  ledger.childEnded('b', 0, true);
+  assert.equal(ledger.child('c'), 1);
+  ledger.childEnded('c', 1, true);
+  assert.equal(ledger.end().retriesSpent, 3);
+});
+
+test('a repeat after a failure costs a retry and is refused without one', () => {
+  // Guards against backend servers whose own retry loops multiply over the hops.
+  const ledger = new Ledger(1);
+  ledger.child('a', 'same');
+  ledger.childEnded('a', 0);
+  assert.equal(ledger.child('b', 'same'), 0);
+  ledger.childEnded('b', 0);
+  assert.equal(ledger.child('c', 'same'), 'retryBudgetSpent');
+  assert.equal(ledger.child('d', 'other'), 0);
+});
+
+test('unknown parents, late calls and calls that are too deep are refused', () => {
+  // Guards against forged or outdated contexts and against cycles in the call graph.
+  assert.equal(new Ledger(1).child('a', 'a', 'unknown'), 'contextInvalid');
+  assert.equal(new Ledger(1, 16).child('a'), 'contextInvalid');
+  const late = new Ledger(1);
+  late.now = 10_000;
+  assert.equal(late.child('a'), 'deadlineUnreachable');
+});
+
+test('own latency leaves out the time of deeper calls, overlapping ones once', () => {
+  // Guards against a limit that falls because a service further down is slow.
+  const ledger = new Ledger(0);
+  const at = (now: number, action: () => unknown): void => {
+    ledger.now = now;
+    action();
+  };
+  at(10, () => ledger.child('a'));
+  at(20, () => ledger.child('b'));
+  at(30, () => ledger.childEnded('a', 0, true));
+  at(50, () => ledger.childEnded('b', 0, true));
+  ledger.now = 55;
+  assert.equal(ledger.end().ownLatencyMs, 15);
+});
+
+test('the lowest fraction of each service is reported, at most eight services', () => {
+  // Guards against answers that grow with the call graph or hide the scarce service.
+  const ledger = new Ledger(0);
+  for (let index = 0; index < 12; index += 1) {
+    ledger.child(`c${index}`);
+    const admitFraction = 1 - index / 16;
+    ledger.childEnded(`c${index}`, 0, true, [
+      { service: `s${index}`, admitFraction },
+      { service: 'shared', admitFraction: admitFraction / 2 },
+    ]);
+  }
+  const { feedback } = ledger.end();
+  assert.equal(feedback.length, 8);
+  assert.equal(feedback.find(({ service }) => service === 'shared')?.admitFraction, 0.15625);
+  assert.ok(feedback.some(({ service }) => service === 's11'));
+});
+
+test('the end of a run cancels its deeper calls and counts what they hold', () => {
+  // Guards against work for nobody and against a budget that outstanding calls exceed.
+  const ledger = new Ledger(2);
+  ledger.child('a');
+  const effects = ledger.send({ kind: 'run-ended', requestId: 'p' });
+  assert.deepEqual(effects[0], { kind: 'cancel-child', childId: 'a' });
+  assert.ok(effects[1]?.kind === 'run-reported' && effects[1].report.retriesSpent === 1);
+});
+
+test('the assertion sees a child that used more than it was given', () => {
+  // Guards against an assertion that can never fail.
+  const ledger = new Ledger(2);
+  ledger.child('a');
+  const [violation] = ledger.childEnded('a', 5);
+  assert.ok(violation?.kind === 'violation' && violation.promise === 'retry-bound');
+});
+
+test('any order of deeper calls: grants and repeats never exceed the budget', () => {
+  // Guards against parallel deeper calls that together get more than their parent has.
+  const item = fc.record({
+    isEnd: fc.boolean(),
+    pick: fc.nat(20),
+    spend: fc.option(fc.double({ min: 0, max: 1, noNaN: true })),
+    fingerprint: fc.constantFrom('x', 'y'),
+    succeeded: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(item, { maxLength: 60 }), fc.nat(8), (items, retries) => {
+      const ledger = new Ledger(retries);
+      const open = new Map<string, { granted: number; fingerprint: string }>();
+      const failed = new Set<string>();
+      let used = 0;
+      items.forEach(({ isEnd, pick, spend, fingerprint, succeeded }, index) => {
+        const childId = [...open.keys()][pick % Math.max(1, open.size)];
+        const child = childId === undefined ? undefined : open.get(childId);
+        if (isEnd && childId !== undefined && child !== undefined) {
+          const spent = spend === null ? null : Math.floor(child.granted * spend);
+          used += spent ?? child.granted;
+          if (!succeeded) failed.add(child.fingerprint);
+          open.delete(childId);
+          assert.deepEqual(ledger.childEnded(childId, spent, succeeded), []);
+        } else if (!isEnd) {
+          const granted = ledger.child(`c${index}`, fingerprint);
+          if (typeof granted !== 'number') return;
+          used += failed.has(fingerprint) ? 1 : 0;
+          open.set(`c${index}`, { granted, fingerprint });
+        }
+        const held = [...open.values()].reduce((sum, { granted }) => sum + granted, 0);
+        assert.ok(used + held <= retries, `${used} used and ${held} held of ${retries}`);
+      });
+      assert.ok(ledger.end().retriesSpent <= retries);
+    }),
+    { seed: 20_261_204, numRuns: 1_000 },
+  );
+});
