--- /dev/null
+++ b/src/core/credit/bucket.ts
@@ -0,0 +1,233 @@
+import { Map, OrderedMap } from 'immutable';
+import type { BackendServerName } from '../model/names.js';
+import type { Draw } from '../model/peer-message.js';
+import type { Instant, Milliseconds } from '../model/time.js';
+import type { SeatShare } from './seat-split.js';
+
+/** Time in which an entry may spend a grant, counted from the sending of its draw. */
+export const GRANT_LIFETIME_MS = 200;
+
+/** 1% longer than the lifetime, for clocks that run at slightly different speeds. */
+const OUTSTANDING_MS = 202;
+
+/** An entry counts as drawing for this time after a draw. */
+const DRAWER_MS = 1000;
+
+/** A refused entry keeps its place before entries refused later for this time. */
+const OWED_MS = 2000;
+
+/** Bounds the search for an entry's place among the refused ones. */
+const MAX_OWED = 32;
+
+interface Outstanding {
+  readonly tokens: number;
+  readonly until: Instant;
+}
+
+/** Token bucket of one account at one seat. */
+export interface Bucket {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+  /** A larger share that replaces the present one at an instant. */
+  readonly raise: { readonly at: Instant; readonly share: SeatShare } | null;
+  /** Instant from which the bucket fills. */
+  readonly opensAt: Instant;
+  readonly free: number;
+  readonly filledAt: Instant;
+  readonly outstanding: number;
+  /** Grants by entry and draw, the oldest first. */
+  readonly grants: OrderedMap<string, Outstanding>;
+  /** Instant of the last draw by entry. */
+  readonly drawers: Map<BackendServerName, Instant>;
+  /** Entries refused and not served since, the longest waiting first. */
+  readonly owed: OrderedMap<BackendServerName, Instant>;
+}
+
+/**
+ * Makes an empty bucket.
+ *
+ * @param share - the seat's share
+ * @param opensAt - instant from which it fills
+ * @returns the bucket
+ */
+export function emptyBucket(share: SeatShare, opensAt: Instant): Bucket {
+  return {
+    ratePerSecond: share.ratePerSecond,
+    burst: share.burst,
+    raise: null,
+    opensAt,
+    free: 0,
+    filledAt: opensAt,
+    outstanding: 0,
+    grants: OrderedMap(),
+    drawers: Map(),
+    owed: OrderedMap(),
+  };
+}
+
+/** Free tokens never reach into the part of the burst that is outstanding. */
+function capFree(free: number, bucket: Pick<Bucket, 'burst' | 'outstanding'>): number {
+  return Math.max(0, Math.min(free, bucket.burst - bucket.outstanding));
+}
+
+function fill(bucket: Bucket, now: Instant): Bucket {
+  if (now <= bucket.filledAt) return bucket;
+  const gained = ((now - bucket.filledAt) * bucket.ratePerSecond) / 1000;
+  return { ...bucket, filledAt: now, free: capFree(bucket.free + gained, bucket) };
+}
+
+function dropGrant(bucket: Bucket, key: string, tokens: number): Bucket {
+  const outstanding = bucket.outstanding - tokens;
+  return { ...bucket, outstanding, grants: bucket.grants.delete(key) };
+}
+
+function expireGrants(bucket: Bucket, now: Instant): Bucket {
+  let next = bucket;
+  for (const [key, { tokens, until }] of bucket.grants) {
+    if (until > now) break;
+    // Filling up to the instant of expiry first keeps the cap exact.
+    next = dropGrant(fill(next, until), key, tokens);
+  }
+  return next;
+}
+
+function applyRaise(bucket: Bucket, now: Instant): Bucket {
+  const { raise } = bucket;
+  if (raise === null || raise.at > now) return bucket;
+  const { ratePerSecond, burst } = raise.share;
+  return { ...fill(bucket, raise.at), ratePerSecond, burst, raise: null };
+}
+
+/**
+ * Brings a bucket up to an instant.
+ *
+ * @param bucket - the bucket
+ * @param now - the instant
+ * @returns the bucket after expiry of grants, a due raise and refill
+ */
+export function advanceBucket(bucket: Bucket, now: Instant): Bucket {
+  return fill(expireGrants(applyRaise(bucket, now), now), now);
+}
+
+/**
+ * Forgets entries that no longer draw; called from a timer, so that a draw costs the same with
+ * thousands of entries.
+ *
+ * @param bucket - the bucket
+ * @param now - the instant
+ * @returns the bucket without old entries
+ */
+export function pruneDrawers(bucket: Bucket, now: Instant): Bucket {
+  const drawers = bucket.drawers.filter((at) => at > now - DRAWER_MS);
+  const owed = bucket.owed.filter((at) => at > now - OWED_MS);
+  return { ...bucket, drawers, owed };
+}
+
+/**
+ * Changes the share. A decrease holds at once. An increase waits, because it may stem from a
+ * part that moved here from a seat which has not applied the configuration yet.
+ *
+ * @param bucket - the bucket, advanced to now
+ * @param share - the new share
+ * @param raiseAt - instant from which an increase holds
+ * @returns the bucket under the new share
+ */
+export function reshareBucket(bucket: Bucket, share: SeatShare, raiseAt: Instant): Bucket {
+  const ratePerSecond = Math.min(bucket.ratePerSecond, share.ratePerSecond);
+  const burst = Math.min(bucket.burst, share.burst);
+  const isRaised = ratePerSecond < share.ratePerSecond || burst < share.burst;
+  const isKnown =
+    bucket.raise !== null &&
+    bucket.raise.share.ratePerSecond === share.ratePerSecond &&
+    bucket.raise.share.burst === share.burst;
+  const raise = isKnown ? bucket.raise : { at: raiseAt, share };
+  const next = { ...bucket, ratePerSecond, burst, raise: isRaised ? raise : null };
+  return { ...next, free: capFree(bucket.free, next) };
+}
+
+/** Tokens set aside for entries that were refused before this one. */
+function reservedFor(bucket: Bucket, peer: BackendServerName): number {
+  const limit = Math.min(MAX_OWED, bucket.burst - 1);
+  let ahead = 0;
+  for (const owed of bucket.owed.keys()) {
+    if (ahead >= limit || owed === peer) break;
+    ahead += 1;
+  }
+  return Math.max(0, ahead);
+}
+
+function offer(bucket: Bucket, peer: BackendServerName, draw: Draw): number {
+  const half = bucket.burst / 2;
+  if (draw.ahead === true) {
+    return bucket.owed.isEmpty() ? Math.min(draw.want, Math.floor(bucket.free - half)) : 0;
+  }
+  const spare = bucket.free - reservedFor(bucket, peer);
+  // The upper half goes to whoever asks; the lower half is divided among the drawing entries.
+  const part = Math.max(1, Math.floor(spare / bucket.drawers.size), Math.floor(spare - half));
+  return Math.min(draw.want, part, Math.floor(spare));
+}
+
+/**
+ * Takes tokens for a draw. A repeated draw is debited again: the holder cannot tell it from the
+ * first draw of a restarted entry, and the entry uses one grant only.
+ *
+ * @param filled - the bucket, advanced to now
+ * @param peer - the drawing entry
+ * @param draw - the draw
+ * @param now - the instant
+ * @returns the bucket, the tokens and the time until a whole token is expected
+ */
+export function takeTokens(
+  filled: Bucket,
+  peer: BackendServerName,
+  draw: Draw,
+  now: Instant,
+): { readonly bucket: Bucket; readonly tokens: number; readonly retryAfterMs: Milliseconds } {
+  const bucket = { ...filled, drawers: filled.drawers.set(peer, now) };
+  const tokens = Math.max(0, offer(bucket, peer, draw));
+  if (tokens === 0) {
+    const missing = 1 + reservedFor(bucket, peer) - bucket.free;
+    const waitMs = bucket.ratePerSecond > 0 ? (missing * 1000) / bucket.ratePerSecond : DRAWER_MS;
+    const owes = draw.ahead !== true && !bucket.owed.has(peer);
+    const owed = owes ? bucket.owed.set(peer, now) : bucket.owed;
+    return { bucket: { ...bucket, owed }, tokens, retryAfterMs: Math.max(1, Math.ceil(waitMs)) };
+  }
+  const key = `${peer}/${draw.drawId}`;
+  const same = bucket.grants.get(key)?.tokens ?? 0;
+  return {
+    bucket: {
+      ...bucket,
+      free: bucket.free - tokens,
+      outstanding: bucket.outstanding + tokens,
+      grants: bucket.grants
+        .delete(key)
+        .set(key, { tokens: tokens + same, until: now + OUTSTANDING_MS }),
+      owed: bucket.owed.delete(peer),
+    },
+    tokens,
+    retryAfterMs: 0,
+  };
+}
+
+/**
+ * Ends a grant before its lifetime. A second report of the same grant finds nothing.
+ *
+ * @param bucket - the bucket, advanced to now
+ * @param peer - the entry that reports
+ * @param drawId - the draw of the grant
+ * @param returned - tokens that were not spent and never will be
+ * @returns the bucket
+ */
+export function settleGrant(
+  bucket: Bucket,
+  peer: BackendServerName,
+  drawId: number,
+  returned: number,
+): Bucket {
+  const key = `${peer}/${drawId}`;
+  const grant = bucket.grants.get(key);
+  if (grant === undefined) return bucket;
+  const next = dropGrant(bucket, key, grant.tokens);
+  const back = Math.max(0, Math.min(returned, grant.tokens));
+  return { ...next, free: capFree(bucket.free + back, next) };
+}
--- a/src/core/model/peer-message.ts
+++ b/src/core/model/peer-message.ts
@@ -10,6 +10,8 @@
   readonly drawId: number;
   readonly account: AccountName;
   readonly want: number;
+  /** True when no request waits for it; such a draw leaves half of the burst to those that wait. */
+  readonly ahead?: boolean;
 }
 
 /** Tokens given to an entry; already debited at the holder. */
