Add order identifiers and the order ledger

Cause: a non-idempotent request runs at most once, whatever its caller repeats. An answer over 64 KiB is remembered with status and headers under the new code orderAnswerDropped (3009). Records outlive their identifiers by 60 s, so that a late message finds its record. A full ledger makes room only by forgetting orders that did not run.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -343,6 +343,13 @@
     hint: 'Do not repeat a request that crashes backend servers.',
     httpStatus: 502,
   },
+  orderAnswerDropped: {
+    number: 3009,
+    title: 'Answer to the order not kept',
+    message: 'the order has run and was answered, but the answer was too large to keep',
+    hint: 'Do not place the order again; ask the service for its result.',
+    httpStatus: 409,
+  },
   internal: {
     number: 3999,
     title: 'Internal error',
--- /dev/null
+++ b/src/core/order/order-id.ts
@@ -0,0 +1,110 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import type { Caller } from '../model/call.js';
+import type { BackendServerName, Incarnation } from '../model/names.js';
+import type { Instant } from '../model/time.js';
+
+/** Separates this use of the fleet's secret from every other use. */
+const MAC_DOMAIN = 'almondhoist order identifier v1\n';
+
+const RANDOM_BYTES = 16;
+
+/** Longer texts are refused before any work is spent on them. */
+const MAX_TEXT_LENGTH = 1024;
+
+/** What an order identifier states. */
+export interface OrderClaim {
+  /** Node that remembers the order. */
+  readonly home: BackendServerName;
+  readonly homeIncarnation: Incarnation;
+  readonly caller: Caller;
+  /** On the monotonic clock of the home; it means nothing to any other process. */
+  readonly issuedAt: Instant;
+}
+
+function encode(text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64url');
+}
+
+function decode(text: string): string {
+  return Buffer.from(text, 'base64url').toString('utf8');
+}
+
+/** An account name cannot be mistaken for an anonymous caller because of its first letter. */
+function callerText(caller: Caller): string {
+  switch (caller.kind) {
+    case 'account':
+      return `k${caller.account}`;
+    case 'anonymous':
+      return 'o';
+  }
+}
+
+function callerOf(text: string): Caller {
+  return text.startsWith('k') ? { kind: 'account', account: text.slice(1) } : { kind: 'anonymous' };
+}
+
+function isSameCaller(left: Caller, right: Caller): boolean {
+  return callerText(left) === callerText(right);
+}
+
+/** Issues and verifies order identifiers under the fleet's secret. */
+export class OrderIdentity {
+  readonly #secret: string;
+
+  /**
+   * @param secret - secret shared by all nodes
+   */
+  constructor(secret: string) {
+    this.#secret = secret;
+  }
+
+  #mac(body: string): Buffer {
+    return createHmac('sha256', this.#secret).update(MAC_DOMAIN).update(body).digest();
+  }
+
+  /**
+   * Issues an identifier.
+   *
+   * @param claim - home, incarnation, caller and issue instant
+   * @param random - 16 random bytes, fresh for every identifier
+   * @returns text that is safe in a URL and in a header
+   */
+  issue(claim: OrderClaim, random: Uint8Array): string {
+    if (random.length !== RANDOM_BYTES) {
+      throw new RangeError(`expected ${RANDOM_BYTES} random bytes, got ${random.length}`);
+    }
+    const body = [
+      encode(claim.home),
+      encode(claim.homeIncarnation),
+      encode(callerText(claim.caller)),
+      encode(String(claim.issuedAt)),
+      Buffer.from(random).toString('base64url'),
+    ].join('.');
+    return `${body}.${this.#mac(body).toString('base64url')}`;
+  }
+
+  /**
+   * Verifies an identifier. Any node can do so; only the home can judge its age.
+   *
+   * @param text - the identifier as the caller sent it
+   * @param caller - the caller of this request
+   * @returns the claim, or the code of the refusal
+   */
+  verify(text: string, caller: Caller): Result<OrderClaim, 'orderIdInvalid'> {
+    const end = text.lastIndexOf('.');
+    if (end < 0 || text.length > MAX_TEXT_LENGTH) return err('orderIdInvalid');
+    const body = text.slice(0, end);
+    const expected = this.#mac(body);
+    const given = Buffer.from(text.slice(end + 1), 'base64url');
+    // The text is compared again, since several texts decode to the same bytes and each would
+    // be another key in the ledger.
+    const isCanonical = text.slice(end + 1) === given.toString('base64url');
+    if (given.length !== expected.length || !timingSafeEqual(given, expected) || !isCanonical) {
+      return err('orderIdInvalid');
+    }
+    const [home = '', homeIncarnation = '', who = '', issuedAt = ''] = body.split('.').map(decode);
+    const claim = { home, homeIncarnation, caller: callerOf(who), issuedAt: Number(issuedAt) };
+    return isSameCaller(claim.caller, caller) ? ok(claim) : err('orderIdInvalid');
+  }
+}
--- /dev/null
+++ b/src/core/order/order-ledger.ts
@@ -0,0 +1,246 @@
+import { Map, OrderedMap, OrderedSet, Set } from 'immutable';
+import type { CodeName } from '../errors/registry.js';
+import type { Header, Outcome } from '../model/call.js';
+import type { RequestId } from '../model/names.js';
+import type { Instant } from '../model/time.js';
+import { assertPromise, type Violation } from '../promises/violation.js';
+import { step, type Decision, type Step } from '../task/decision.js';
+import type { OrderEffect, OrderMessage } from './order-message.js';
+
+/** Time from the issue of an identifier in which its order is remembered. */
+export const ORDER_LIFETIME_MS = 900_000;
+
+/** Longest body that is kept for repeats. */
+export const MAX_KEPT_BODY_BYTES = 65_536;
+
+const DEFAULT_MAX_RECORDS = 100_000;
+
+/**
+ * Records outlive their identifiers by this time. The age of an identifier is measured before
+ * its message is handled, so a late message could otherwise find its record gone and run again.
+ */
+const EXPIRY_MARGIN_MS = 60_000;
+
+/** Records removed in one step at most, so that a step stays short. */
+const MAX_EXPIRED_PER_STEP = 1000;
+
+type RecordState =
+  | { readonly kind: 'running'; readonly waiting: Set<RequestId> }
+  | { readonly kind: 'answered'; readonly outcome: Outcome }
+  /** Answered, with a body too large to keep. */
+  | { readonly kind: 'dropped'; readonly status: number; readonly headers: readonly Header[] }
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'unknown'; readonly outcome: Outcome };
+
+/** What the home remembers of one order. */
+interface OrderRecord {
+  readonly fingerprint: string;
+  readonly state: RecordState;
+  /** Runs that were not refused as not run; asserted to stay at most one. */
+  readonly runs: number;
+  /** Request that carries the present run. */
+  readonly runner: RequestId;
+}
+
+/** State of the ledger. */
+export interface OrderLedger {
+  readonly maxRecords: number;
+  readonly records: Map<string, OrderRecord>;
+  /** Instant from which a record may be removed, in order of the first begin. */
+  readonly expiries: OrderedMap<string, Instant>;
+  /** Orders that did not run, the oldest first; they make room when the ledger is full. */
+  readonly notRun: OrderedSet<string>;
+}
+
+/** Settings of the ledger. */
+export interface OrderLedgerOptions {
+  readonly maxRecords?: number;
+}
+
+type LedgerStep = Step<OrderLedger, OrderEffect>;
+type Begin = Extract<OrderMessage, { kind: 'begin' }>;
+type Settled = Extract<OrderMessage, { kind: 'settled' }>;
+
+/**
+ * Makes an empty ledger. A restarted home starts empty; identifiers of its earlier incarnation
+ * never reach it.
+ *
+ * @param options - the largest number of records
+ * @returns the ledger
+ */
+export function initialOrderLedger(options: OrderLedgerOptions = {}): OrderLedger {
+  const { maxRecords = DEFAULT_MAX_RECORDS } = options;
+  return { maxRecords, records: Map(), expiries: OrderedMap(), notRun: OrderedSet() };
+}
+
+function withRecord(ledger: OrderLedger, orderId: string, record: OrderRecord): OrderLedger {
+  return { ...ledger, records: ledger.records.set(orderId, record) };
+}
+
+function reject(ledger: OrderLedger, requestId: RequestId, code: CodeName): LedgerStep {
+  return step<OrderLedger, OrderEffect>(ledger, { kind: 'reject', requestId, code });
+}
+
+function assertOnce(orderId: string, runs: number): readonly Violation[] {
+  return assertPromise('at-most-once', runs <= 1, () => `order ${orderId} runs ${runs} times`);
+}
+
+function run(ledger: OrderLedger, message: Begin, previous: number, now: Instant): LedgerStep {
+  const { orderId, requestId, fingerprint } = message;
+  const runs = previous + 1;
+  const state = { kind: 'running', waiting: Set<RequestId>() } as const;
+  const record = { fingerprint, state, runs, runner: requestId };
+  const removableAt = now + ORDER_LIFETIME_MS + EXPIRY_MARGIN_MS;
+  return step<OrderLedger, OrderEffect>(
+    {
+      ...withRecord(ledger, orderId, record),
+      notRun: ledger.notRun.delete(orderId),
+      expiries: ledger.expiries.has(orderId)
+        ? ledger.expiries
+        : ledger.expiries.set(orderId, removableAt),
+    },
+    { kind: 'run', orderId, requestId },
+    ...assertOnce(orderId, runs),
+  );
+}
+
+function repeat(
+  ledger: OrderLedger,
+  message: Begin,
+  record: OrderRecord,
+  now: Instant,
+): LedgerStep {
+  const { orderId, requestId } = message;
+  const { state } = record;
+  switch (state.kind) {
+    case 'running': {
+      // The carrying request hears its own run end; a second place would answer it twice.
+      if (requestId === record.runner) return step(ledger);
+      const waiting = state.waiting.add(requestId);
+      return step(withRecord(ledger, orderId, { ...record, state: { ...state, waiting } }));
+    }
+    case 'answered':
+    case 'unknown':
+      return step<OrderLedger, OrderEffect>(ledger, {
+        kind: 'answer',
+        requestId,
+        outcome: state.outcome,
+      });
+    case 'dropped':
+      return step<OrderLedger, OrderEffect>(ledger, {
+        kind: 'reject',
+        requestId,
+        code: 'orderAnswerDropped',
+        kept: { status: state.status, headers: state.headers },
+      });
+    case 'not-run':
+      return run(ledger, message, record.runs, now);
+  }
+}
+
+/** An order that did not run may be forgotten; without a record it may run as well. */
+function makeRoom(ledger: OrderLedger): OrderLedger {
+  const oldest = ledger.notRun.first();
+  if (ledger.records.size < ledger.maxRecords || oldest === undefined) return ledger;
+  return {
+    ...ledger,
+    records: ledger.records.delete(oldest),
+    expiries: ledger.expiries.delete(oldest),
+    notRun: ledger.notRun.delete(oldest),
+  };
+}
+
+function begin(ledger: OrderLedger, message: Begin, now: Instant): LedgerStep {
+  const { orderId, requestId, fingerprint, ageMs } = message;
+  if (ageMs >= ORDER_LIFETIME_MS) return reject(ledger, requestId, 'orderUnknown');
+  const record = ledger.records.get(orderId);
+  if (record !== undefined) {
+    return record.fingerprint === fingerprint
+      ? repeat(ledger, message, record, now)
+      : reject(ledger, requestId, 'orderMismatch');
+  }
+  const roomy = makeRoom(ledger);
+  return roomy.records.size < roomy.maxRecords
+    ? run(roomy, message, 0, now)
+    : reject(ledger, requestId, 'ordersFull');
+}
+
+function settledState(outcome: Outcome): RecordState {
+  switch (outcome.kind) {
+    case 'answered': {
+      const { status, headers, body } = outcome;
+      return body.length > MAX_KEPT_BODY_BYTES
+        ? { kind: 'dropped', status, headers }
+        : { kind: 'answered', outcome };
+    }
+    case 'refused':
+      return { kind: 'not-run' };
+    case 'failed':
+      return { kind: 'unknown', outcome };
+  }
+}
+
+function settle(ledger: OrderLedger, message: Settled): LedgerStep {
+  const { orderId, requestId, outcome } = message;
+  const record = ledger.records.get(orderId);
+  // A late end of an earlier run must not end the present one.
+  if (record?.state.kind !== 'running' || record.runner !== requestId) return step(ledger);
+  const isNotRun = outcome.kind === 'refused';
+  const state = settledState(outcome);
+  const runs = isNotRun ? record.runs - 1 : record.runs;
+  const answers = [requestId, ...record.state.waiting].map(
+    (waiting) => ({ kind: 'answer', requestId: waiting, outcome }) as const,
+  );
+  const notRun = isNotRun ? ledger.notRun.add(orderId) : ledger.notRun;
+  return step({ ...withRecord(ledger, orderId, { ...record, state, runs }), notRun }, ...answers);
+}
+
+function abandon(ledger: OrderLedger, orderId: string, requestId: RequestId): OrderLedger {
+  const record = ledger.records.get(orderId);
+  if (record?.state.kind !== 'running') return ledger;
+  const waiting = record.state.waiting.delete(requestId);
+  return withRecord(ledger, orderId, { ...record, state: { ...record.state, waiting } });
+}
+
+/** Removes what the age of its identifier refuses anyway; a running order stays until it ends. */
+function expire(ledger: OrderLedger, now: Instant): OrderLedger {
+  const due = ledger.expiries
+    .toSeq()
+    .takeWhile((removableAt) => removableAt <= now)
+    .take(MAX_EXPIRED_PER_STEP)
+    .keySeq()
+    .filter((orderId) => ledger.records.get(orderId)?.state.kind !== 'running')
+    .toArray();
+  if (due.length === 0) return ledger;
+  return {
+    ...ledger,
+    records: ledger.records.deleteAll(due),
+    expiries: ledger.expiries.deleteAll(due),
+    notRun: ledger.notRun.subtract(due),
+  };
+}
+
+/**
+ * Decides for the ledger of orders of which this node is the home.
+ *
+ * @param state - the ledger
+ * @param message - what happened
+ * @param now - the present instant of the home's monotonic clock
+ * @returns the next state, the runs to start and the answers to give
+ */
+export const decideOrders: Decision<OrderLedger, OrderMessage, OrderEffect> = (
+  state,
+  message,
+  now,
+) => {
+  switch (message.kind) {
+    case 'begin':
+      return begin(state, message, now);
+    case 'settled':
+      return settle(state, message);
+    case 'abandoned':
+      return step(abandon(state, message.orderId, message.requestId));
+    case 'tick':
+      return step(expire(state, now));
+  }
+};
--- a/src/core/order/order-message.ts
+++ b/src/core/order/order-message.ts
@@ -1,5 +1,5 @@
 import type { CodeName } from '../errors/registry.js';
-import type { Outcome } from '../model/call.js';
+import type { Header, Outcome } from '../model/call.js';
 import type { RequestId } from '../model/names.js';
 import type { Violation } from '../promises/violation.js';
 
@@ -30,5 +30,11 @@
   /** Run the order now; this request carries it. */
   | { readonly kind: 'run'; readonly orderId: string; readonly requestId: RequestId }
   | { readonly kind: 'answer'; readonly requestId: RequestId; readonly outcome: Outcome }
-  | { readonly kind: 'reject'; readonly requestId: RequestId; readonly code: CodeName }
+  | {
+      readonly kind: 'reject';
+      readonly requestId: RequestId;
+      readonly code: CodeName;
+      /** What is left of an answer whose body was too large to keep. */
+      readonly kept?: { readonly status: number; readonly headers: readonly Header[] };
+    }
   | Violation;
