--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,6 +70,8 @@
       'no-continue': 'off',
       'no-void': ['error', { allowAsStatement: true }],
       'n/no-process-exit': 'off',
+      // Node.js 20 has the fetch classes that hono works with, though marked experimental.
+      'n/no-unsupported-features/node-builtins': ['error', { ignores: ['Response', 'Headers'] }],
     },
   },
   {
--- /dev/null
+++ b/src/cli/node-command.ts
@@ -0,0 +1,68 @@
+import { once } from 'node:events';
+import { readFile } from 'node:fs/promises';
+import { command, option, string } from 'cmd-ts';
+import { ResultAsync } from 'neverthrow';
+import type { Fault } from '../core/errors/fault.js';
+import { parseSettings } from '../core/settings/parse-settings.js';
+import type { Settings } from '../core/settings/settings.js';
+import { Node } from '../runtime/node.js';
+import { readTls, type TlsMaterial } from '../runtime/tls-material.js';
+import { exitCodes, type ExitCode } from './exit-code.js';
+import { printFaults, type Terminal } from './terminal.js';
+
+interface Prepared {
+  readonly settings: Settings;
+  readonly tls: TlsMaterial | null;
+}
+
+function unreadable(file: string, error: unknown): readonly Fault[] {
+  const reason = error instanceof Error ? error.message : String(error);
+  return [{ code: 'fileUnreadable', details: { file, reason }, source: file, place: '' }];
+}
+
+function readSettings(file: string): ResultAsync<Prepared, readonly Fault[]> {
+  return ResultAsync.fromPromise(readFile(file, 'utf8'), (error) => unreadable(file, error))
+    .andThen((text) => parseSettings(text, file))
+    .andThen((settings) =>
+      ResultAsync.fromPromise(readTls(settings.tls), (error) => unreadable(file, error)).map(
+        (tls) => ({ settings, tls }),
+      ),
+    );
+}
+
+async function serveUntilSignal(node: Node): Promise<ExitCode> {
+  await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+  const isDrained = await node.stop();
+  return isDrained ? exitCodes.success : exitCodes.promiseBroken;
+}
+
+async function runNode({ settings, tls }: Prepared, terminal: Terminal): Promise<ExitCode> {
+  const node = new Node(settings, tls);
+  const started = await node.start();
+  if (started.isOk()) return serveUntilSignal(node);
+  printFaults(terminal, [started.error]);
+  await node.stop();
+  return exitCodes.cannotStart;
+}
+
+/**
+ * Builds `node --settings FILE`.
+ *
+ * @param terminal - where faults are printed; the log goes to standard output
+ * @returns the command
+ */
+export function nodeCommand(terminal: Terminal) {
+  return command({
+    name: 'node',
+    description: 'Run the node beside a backend server until SIGTERM or SIGINT.',
+    args: {
+      settings: option({ type: string, long: 'settings', description: 'TOML file with settings' }),
+    },
+    handler: async ({ settings }): Promise<ExitCode> => {
+      const prepared = await readSettings(settings);
+      return prepared.isOk()
+        ? runNode(prepared.value, terminal)
+        : printFaults(terminal, prepared.error);
+    },
+  });
+}
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -5,6 +5,7 @@
 import { diffCommand } from './diff-command.js';
 import { exitCodes, type ExitCode } from './exit-code.js';
 import { hashKeyCommand } from './hash-key-command.js';
+import { nodeCommand } from './node-command.js';
 import type { Terminal } from './terminal.js';
 import { VERSION } from './version.js';
 
@@ -13,8 +14,9 @@
     name: 'almondhoist',
     version: VERSION,
     description: 'Overload control layer for service call graphs.',
-    // The commands `node` and `explain` join here.
+    // The command `explain` joins here.
     cmds: {
+      node: nodeCommand(terminal),
       check: checkCommand(terminal),
       bundle: bundleCommand(terminal),
       diff: diffCommand(terminal),
--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -399,6 +399,18 @@
     message: '{topic} version {version} is in force',
     hint: 'Nothing to do.',
   },
+  nodeStarted: {
+    number: 4105,
+    title: 'Node started',
+    message: 'listening for callers on port {caller}, for peers on port {peer}',
+    hint: 'Nothing to do.',
+  },
+  nodeStopped: {
+    number: 4106,
+    title: 'Node stopped',
+    message: 'stopped with {open} open requests',
+    hint: 'Raise stop_deadline_ms if requests were open.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the own availability zone',
--- a/src/core/pipeline/prepare.ts
+++ b/src/core/pipeline/prepare.ts
@@ -39,5 +39,7 @@
       .andThen(toAuthenticated)
       .andThen(toWithheld)
       .andThen(toClassified)
-      .asyncAndThen((request) => admit(request).andThen(toChecked(request.credentials.key)));
+      .asyncAndThen((classified) =>
+        admit(classified).andThen(toChecked(classified.credentials.key)),
+      );
 }
--- a/src/runtime/backend-client.ts
+++ b/src/runtime/backend-client.ts
@@ -76,9 +76,13 @@
     this.#exchanges.get(requestId)?.abort('cancelledRunning');
   }
 
-  /** Closes all connections after the running calls have ended. */
-  async close(): Promise<void> {
-    await this.#pool.close();
+  /**
+   * Closes all connections.
+   *
+   * @param isOrderly - whether running calls may end first
+   */
+  async close(isOrderly: boolean): Promise<void> {
+    await (isOrderly ? this.#pool.close() : this.#pool.destroy());
   }
 
   #forget(requestId: RequestId): void {
--- /dev/null
+++ b/src/runtime/configuration-task.ts
@@ -0,0 +1,111 @@
+import { fromDocument } from '../core/configuration/document.js';
+import { Lookup } from '../core/configuration/lookup.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { BackendServer, Configuration } from '../core/model/configuration.js';
+import type { Document } from '../core/model/document.js';
+import type { GateState } from '../core/model/load.js';
+import type { CreditTask } from './credit-task.js';
+import type { GateTask } from './gate-task.js';
+import { hostsOf } from './host-list.js';
+import type { MembershipTask } from './membership-task.js';
+
+/** What applying documents needs of the node. */
+export interface ConfigurationTaskOptions {
+  readonly identity: Identity;
+  readonly membership: MembershipTask;
+  readonly credit: CreditTask;
+  readonly createGate: (backendServer: BackendServer) => GateTask;
+}
+
+const HOSTS_PREFIX = 'hosts/';
+
+/** Owner of the configuration in force, of the gate, and of whether the gate takes work. */
+export class ConfigurationTask {
+  readonly #options: ConfigurationTaskOptions;
+
+  #lookup: Lookup | null = null;
+
+  #gate: GateTask | null = null;
+
+  #isZoneOut = false;
+
+  /** The host list says that the own host is leaving, or the configuration no longer names it. */
+  #isLeaving = false;
+
+  #isStopping = false;
+
+  /**
+   * @param options - identity and the tasks that follow the configuration
+   */
+  constructor(options: ConfigurationTaskOptions) {
+    this.#options = options;
+  }
+
+  /** @returns tables of the configuration in force, or null before the first one */
+  get lookup(): Lookup | null {
+    return this.#lookup;
+  }
+
+  /** @returns the gate, or null before the first configuration */
+  get gate(): GateTask | null {
+    return this.#gate;
+  }
+
+  /**
+   * Puts a document into force as a whole.
+   *
+   * @param document - a document that passed its check
+   */
+  apply(document: Document): void {
+    if (document.topic === 'configuration') {
+      fromDocument(document).map((configuration) => this.#applyConfiguration(configuration));
+    } else {
+      this.#applyHosts(document, document.topic.slice(HOSTS_PREFIX.length));
+    }
+  }
+
+  /** Refuses new work at the gate from now on, because the node stops. */
+  stop(): void {
+    this.#isStopping = true;
+    this.#updateGateState();
+  }
+
+  #applyConfiguration(configuration: Configuration): void {
+    const { identity, membership, credit } = this.#options;
+    const lookup = new Lookup(configuration);
+    this.#lookup = lookup;
+    membership.send({ kind: 'zones-configured', zones: configuration.zones });
+    membership.send({ kind: 'seats-wanted', seats: configuration.seats });
+    credit.configure(configuration);
+    const backendServer = lookup.backendServer(identity.node);
+    if (backendServer !== null) this.#configureGate(backendServer, configuration);
+    this.#isZoneOut = lookup.zone(identity.zone)?.state === 'out';
+    this.#isLeaving = backendServer === null;
+    this.#updateGateState();
+  }
+
+  #configureGate(backendServer: BackendServer, configuration: Configuration): void {
+    this.#gate ??= this.#options.createGate(backendServer);
+    const weights = new Map(configuration.accounts.map(({ name, weight }) => [name, weight]));
+    this.#gate.configure(backendServer, weights);
+  }
+
+  #applyHosts(document: Document, zone: string): void {
+    const { identity, membership } = this.#options;
+    const hosts = hostsOf(document);
+    membership.send({ kind: 'hosts-listed', zone, hosts });
+    const own = hosts.find(({ backendServer }) => backendServer === identity.node);
+    if (own === undefined) return;
+    this.#isLeaving = own.state === 'leaving';
+    this.#updateGateState();
+  }
+
+  #updateGateState(): void {
+    this.#gate?.changeState(this.#gateState());
+  }
+
+  #gateState(): GateState {
+    if (this.#isStopping || this.#isLeaving) return 'leaving';
+    return this.#isZoneOut ? 'zone-out' : 'serving';
+  }
+}
--- /dev/null
+++ b/src/runtime/crash-task.ts
@@ -0,0 +1,84 @@
+import {
+  decideCrashes,
+  hasMark,
+  initialCrashes,
+  isQuarantined,
+  type CrashState,
+} from '../core/crash/crash-watch.js';
+import type { CrashEffect, CrashMessage } from '../core/crash/crash-message.js';
+import type { Mark } from '../core/model/mark.js';
+import type { Clock } from '../core/model/time.js';
+import { Task } from '../core/task/task.js';
+
+/** What the crash watch needs of its node. */
+export interface CrashTaskOptions {
+  readonly clock: Clock;
+  readonly spread: (marks: readonly Mark[]) => void;
+  readonly quarantined: (fingerprint: string) => void;
+}
+
+const TICK_INTERVAL_MS = 1000;
+
+/** Owner of the marks of requests that were running when a backend server crashed. */
+export class CrashTask {
+  readonly #options: CrashTaskOptions;
+
+  readonly #task: Task<CrashState, CrashMessage, CrashEffect>;
+
+  readonly #ticker: NodeJS.Timeout;
+
+  /**
+   * @param options - clock and how marks are spread
+   */
+  constructor(options: CrashTaskOptions) {
+    this.#options = options;
+    this.#task = new Task({
+      initial: initialCrashes,
+      decide: decideCrashes,
+      clock: options.clock,
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#ticker = setInterval(() => this.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  /**
+   * Handles a crash, a completed call or marks of a peer.
+   *
+   * @param message - the message
+   */
+  send(message: CrashMessage): void {
+    this.#task.send(message);
+  }
+
+  /**
+   * @param fingerprint - fingerprint of a call
+   * @returns whether equal calls crashed two backend servers
+   */
+  isQuarantined(fingerprint: string): boolean {
+    return isQuarantined(this.#task.state, fingerprint, this.#options.clock.now());
+  }
+
+  /**
+   * @param fingerprint - fingerprint of a call
+   * @returns whether an equal call was running at a crash
+   */
+  hasMark(fingerprint: string): boolean {
+    return hasMark(this.#task.state, fingerprint, this.#options.clock.now());
+  }
+
+  /** Stops the timer. */
+  close(): void {
+    clearInterval(this.#ticker);
+  }
+
+  #perform(effect: CrashEffect): void {
+    switch (effect.kind) {
+      case 'spread-marks':
+        this.#options.spread(effect.marks);
+        break;
+      case 'quarantined':
+        this.#options.quarantined(effect.fingerprint);
+        break;
+    }
+  }
+}
--- a/src/runtime/entry-task.ts
+++ b/src/runtime/entry-task.ts
@@ -4,7 +4,13 @@
 import type { Call, Caller, Header, Outcome } from '../core/model/call.js';
 import type { RequestId } from '../core/model/names.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
-import type { Prepared, RawRequest, Refusal } from '../core/pipeline/exchange.js';
+import {
+  refusal,
+  type Origin,
+  type Prepared,
+  type RawRequest,
+  type Refusal,
+} from '../core/pipeline/exchange.js';
 import type { Metrics } from './metrics.js';
 import type { OrderTask } from './order-task.js';
 import type { Placed, Placement } from './placement.js';
@@ -38,6 +44,7 @@
   readonly cancelAt: (peer: string, sendId: string) => void;
 }
 
+const CREATED = 201;
 const MIN_SERVER_ERROR = 500;
 
 function hasSucceeded(outcome: Outcome): boolean {
@@ -83,7 +90,7 @@
     const prepared = await this.#options.prepare(request);
     const reply = await prepared.match(
       (ready) => this.#place(ready, request),
-      async (refused) => this.#refuse(request, refused),
+      async (refused) => this.refuse(request, refused),
     );
     this.#open.delete(request.requestId);
     this.#options.metrics.answers.inc({ code: reply.code });
@@ -105,6 +112,51 @@
     if (holder !== null) this.#options.cancelAt(holder.peer, holder.id);
   }
 
+  /**
+   * Builds the answer to a request that a filter refused.
+   *
+   * @param request - the request
+   * @param refused - the refusal
+   * @returns the answer for the caller
+   */
+  refuse(request: RawRequest, refused: Refusal): EntryReply {
+    const { requestId } = request;
+    const { code, retryAfterMs, orderFor } = refused;
+    this.#options.log.write({ kind: 'refusal', requestId, code, retryAfterMs });
+    const orderId = orderFor === undefined ? null : this.#options.orders.issue(orderFor);
+    // An earlier request with the same identifier may have run; only its home can say "not run".
+    const hasOrderId = request.headers.some(([name]) => name === 'almondhoist-order-id');
+    return {
+      ...this.#errorReply(requestId, code, { isNotRun: !hasOrderId, retryAfterMs }),
+      orderId,
+    };
+  }
+
+  /**
+   * Builds the answer that gives out an order identifier.
+   *
+   * @param request - the request for an identifier
+   * @param origin - who asks
+   * @returns the answer for the caller
+   */
+  orderReply(request: RawRequest, origin: Origin): EntryReply {
+    const caller: Caller = origin.kind === 'root' ? origin.caller : { kind: 'anonymous' };
+    if (origin.kind === 'root' && origin.keyState === 'unknown') {
+      return this.refuse(request, refusal('keyUnknown'));
+    }
+    const orderId = this.#options.orders.issue(caller);
+    return {
+      requestId: request.requestId,
+      code: 'ok',
+      status: CREATED,
+      headers: [['content-type', 'application/json']],
+      body: Buffer.from(JSON.stringify({ orderId })),
+      isNotRun: false,
+      retryAfterMs: 0,
+      orderId,
+    };
+  }
+
   async #place(prepared: Prepared, request: RawRequest): Promise<EntryReply> {
     const { call, origin } = prepared;
     this.#open.set(call.requestId, call);
@@ -169,19 +221,6 @@
     return reply;
   }
 
-  #refuse(request: RawRequest, refused: Refusal): EntryReply {
-    const { requestId } = request;
-    const { code, retryAfterMs, orderFor } = refused;
-    this.#options.log.write({ kind: 'refusal', requestId, code, retryAfterMs });
-    const orderId = orderFor === undefined ? null : this.#options.orders.issue(orderFor);
-    // An earlier request with the same identifier may have run; only its home can say "not run".
-    const hasOrderId = request.headers.some(([name]) => name === 'almondhoist-order-id');
-    return {
-      ...this.#errorReply(requestId, code, { isNotRun: !hasOrderId, retryAfterMs }),
-      orderId,
-    };
-  }
-
   #errorReply(
     requestId: RequestId,
     code: CodeName,
@@ -205,14 +244,4 @@
     const durationMs = this.#options.clock.now() - request.receivedAt;
     this.#options.log.write({ kind: 'entry-answer', ...subject, code, status, durationMs });
   }
-
-  /**
-   * Issues order identifiers beforehand.
-   *
-   * @param caller - the caller who will use them
-   * @returns one identifier
-   */
-  issueOrder(caller: Caller): string {
-    return this.#options.orders.issue(caller);
-  }
 }
--- a/src/runtime/gate-task.ts
+++ b/src/runtime/gate-task.ts
@@ -164,10 +164,14 @@
     if (this.load.state !== state) this.#task.send({ kind: 'state-changed', state });
   }
 
-  /** Stops the timer and closes the connections after the running calls have ended. */
-  async close(): Promise<void> {
+  /**
+   * Stops the timer and closes the connections to the backend server.
+   *
+   * @param isOrderly - whether running calls may end first
+   */
+  async close(isOrderly: boolean): Promise<void> {
     clearInterval(this.#ticker);
-    await this.#client.close();
+    await this.#client.close(isOrderly);
   }
 
   #perform(effect: GateEffect): void {
--- /dev/null
+++ b/src/runtime/node.ts
@@ -0,0 +1,422 @@
+import { randomBytes } from 'node:crypto';
+import { okAsync, ResultAsync } from 'neverthrow';
+import type { Fault } from '../core/errors/fault.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Answer, Call } from '../core/model/call.js';
+import type { BackendServer } from '../core/model/configuration.js';
+import type { BackendServerName, RequestId } from '../core/model/names.js';
+import { ContextHandles } from '../core/pipeline/context-handle.js';
+import { accept } from '../core/pipeline/accept.js';
+import { authenticate } from '../core/pipeline/authenticate.js';
+import type { RawRequest } from '../core/pipeline/exchange.js';
+import type { Attempt } from '../core/pipeline/next-attempt.js';
+import { prepare, type EntryView } from '../core/pipeline/prepare.js';
+import type { Violation } from '../core/promises/violation.js';
+import type { Settings } from '../core/settings/settings.js';
+import { CallerListener } from './caller-listener.js';
+import { ConfigurationTask } from './configuration-task.js';
+import { CrashTask } from './crash-task.js';
+import { CreditTask } from './credit-task.js';
+import { EntryTask, type EntryReply } from './entry-task.js';
+import { GateTask } from './gate-task.js';
+import { LinkTable } from './link-table.js';
+import { listen } from './listen.js';
+import { MembershipTask } from './membership-task.js';
+import { Metrics } from './metrics.js';
+import { metricsServer } from './metrics-listener.js';
+import { monotonicClock } from './monotonic-clock.js';
+import { OrderTask } from './order-task.js';
+import { PeerRouter } from './peer-router.js';
+import { Placement } from './placement.js';
+import { openLog } from './roarr-log.js';
+import { RootWatch } from './root-watch.js';
+import { RunTask } from './run-task.js';
+import { SpreadTask } from './spread-task.js';
+import { drain } from './drain.js';
+import { newIncarnation, RequestIds } from './request-ids.js';
+import type { TlsMaterial } from './tls-material.js';
+import { watchPauses } from './watch-pauses.js';
+
+/** Ports that the node listens on, for settings with port 0. */
+export interface Ports {
+  readonly caller: number;
+  readonly peer: number;
+  readonly metrics: number | null;
+}
+
+const CONTEXT_KEY_BYTES = 32;
+
+/** Room for headers and envelope around the largest body in a frame between nodes. */
+const FRAME_OVERHEAD_BYTES = 262_144;
+
+/** One node: owns its tasks and hands messages between them. */
+export class Node {
+  readonly #settings: Settings;
+
+  readonly #identity: Identity;
+
+  readonly #clock = monotonicClock;
+
+  readonly #metrics = new Metrics();
+
+  readonly #log;
+
+  readonly #ids: RequestIds;
+
+  readonly #handles = new ContextHandles(randomBytes(CONTEXT_KEY_BYTES));
+
+  readonly #rootWatch = new RootWatch(monotonicClock);
+
+  readonly #links: LinkTable;
+
+  readonly #membership: MembershipTask;
+
+  readonly #spread: SpreadTask;
+
+  readonly #credit: CreditTask;
+
+  readonly #configuration: ConfigurationTask;
+
+  readonly #crashes: CrashTask;
+
+  readonly #runs: RunTask;
+
+  readonly #placement: Placement;
+
+  readonly #orders: OrderTask;
+
+  readonly #entry: EntryTask;
+
+  readonly #router: PeerRouter;
+
+  readonly #callers: CallerListener;
+
+  readonly #metricsServer;
+
+  readonly #pauses: NodeJS.Timeout;
+
+  #isReady = false;
+
+  #isStopping = false;
+
+  /** Instant of the last answer of the configuration service. */
+  #serviceHeardAt = Number.NEGATIVE_INFINITY;
+
+  #crashCount = 0;
+
+  /**
+   * @param settings - checked settings of the process
+   * @param tls - PEM texts, or null without TLS
+   */
+  constructor(settings: Settings, tls: TlsMaterial | null) {
+    this.#settings = settings;
+    const { backendServer, zone, maxBodyBytes, peerSecret } = settings;
+    this.#identity = { node: backendServer, zone, incarnation: newIncarnation() };
+    this.#log = openLog(backendServer);
+    this.#ids = new RequestIds(this.#identity);
+    this.#links = new LinkTable({
+      identity: this.#identity,
+      secret: peerSecret,
+      tls,
+      maxFrameBytes: maxBodyBytes + FRAME_OVERHEAD_BYTES,
+      clock: this.#clock,
+      heartbeat: () => this.#spread.heartbeat,
+      onEvent: (event) => this.#router.receiveTableEvent(event),
+    });
+    this.#membership = this.#createMembership();
+    this.#spread = this.#createSpread();
+    this.#credit = new CreditTask({
+      identity: this.#identity,
+      clock: this.#clock,
+      report: this.#report,
+      send: this.#sendToPeer,
+    });
+    this.#configuration = new ConfigurationTask({
+      identity: this.#identity,
+      membership: this.#membership,
+      credit: this.#credit,
+      createGate: (own) => this.#createGate(own),
+    });
+    this.#crashes = this.#createCrashes();
+    this.#runs = new RunTask({
+      clock: this.#clock,
+      report: this.#report,
+      cancelChild: (childId) => this.#entry.cancel(childId),
+    });
+    this.#placement = this.#createPlacement();
+    this.#orders = this.#createOrders();
+    this.#entry = this.#createEntry();
+    this.#router = this.#createRouter();
+    this.#callers = this.#createCallers(tls);
+    this.#metricsServer = metricsServer(this.#metrics, () => this.#isReady);
+    this.#pauses = watchPauses(this.#clock, (lateMs) => {
+      this.#credit.tellHolder({ kind: 'woke-late', lateMs });
+    });
+  }
+
+  /**
+   * Starts listening.
+   *
+   * @returns the ports, or a fault when an address cannot be used
+   */
+  start(): ResultAsync<Ports, Fault> {
+    const { callerAddress, peerAddress, metricsAddress } = this.#settings;
+    const metrics: ResultAsync<number | null, Fault> =
+      metricsAddress === null ? okAsync(null) : listen(this.#metricsServer, metricsAddress);
+    return ResultAsync.combine([
+      listen(this.#callers.server, callerAddress),
+      listen(this.#links.server, peerAddress),
+      metrics,
+    ]).map(([caller, peer, metricsPort]) => {
+      const details = { caller, peer, metrics: metricsPort ?? 'none' };
+      this.#log.write({ kind: 'event', code: 'nodeStarted', details });
+      return { caller, peer, metrics: metricsPort };
+    });
+  }
+
+  /**
+   * Stops in order: takes no new work, lets everything that runs finish, hands credit back and
+   * closes all connections.
+   *
+   * @returns whether everything ended before the stop deadline
+   */
+  async stop(): Promise<boolean> {
+    const { stopDeadlineMs } = this.#settings;
+    this.#isStopping = true;
+    this.#configuration.stop();
+    this.#links.peers.forEach((peer) =>
+      this.#sendToPeer(peer, { kind: 'leaving', forMs: stopDeadlineMs }),
+    );
+    const isDrained = await drain({
+      clock: this.#clock,
+      deadlineMs: stopDeadlineMs,
+      open: () =>
+        this.#entry.open + (this.#configuration.gate?.pending ?? 0) + this.#links.outstanding,
+    });
+    this.#credit.stop();
+    await this.#close(isDrained);
+    return isDrained;
+  }
+
+  async #close(isDrained: boolean): Promise<void> {
+    if (!isDrained) {
+      this.#report({
+        kind: 'violation',
+        promise: 'graceful-stop',
+        detail: `${this.#entry.open} requests were open at the stop deadline`,
+      });
+    }
+    this.#log.write({ kind: 'event', code: 'nodeStopped', details: { open: this.#entry.open } });
+    clearInterval(this.#pauses);
+    [this.#membership, this.#spread, this.#credit, this.#crashes].forEach((task) => task.close());
+    [this.#orders, this.#rootWatch].forEach((task) => task.close());
+    this.#callers.server.close();
+    this.#callers.server.closeAllConnections();
+    this.#metricsServer.close();
+    this.#metricsServer.closeAllConnections();
+    await this.#links.close();
+    await this.#configuration.gate?.close(isDrained);
+    this.#log.flush();
+  }
+
+  readonly #report = (violation: Violation): void => {
+    this.#metrics.brokenPromises.inc({ promise: violation.promise });
+    this.#log.write(violation);
+  };
+
+  readonly #sendToPeer: LinkTable['send'] = (...args) => this.#links.send(...args);
+
+  #createMembership(): MembershipTask {
+    return new MembershipTask({
+      identity: this.#identity,
+      seeds: this.#settings.seeds,
+      clock: this.#clock,
+      random: Math.random,
+      connect: (peer, address) => this.#links.connect(peer, address),
+      disconnect: (peer) => this.#links.disconnect(peer),
+      neighboursChanged: (neighbours) =>
+        this.#spread.send({ kind: 'neighbours-changed', neighbours }),
+      hostsChanged: (hosts) => this.#spread.send({ kind: 'hosts-changed', hosts }),
+    });
+  }
+
+  #createSpread(): SpreadTask {
+    return new SpreadTask({
+      identity: this.#identity,
+      urls: this.#settings.configurationServiceUrls,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      report: this.#report,
+      random: Math.random,
+      send: this.#sendToPeer,
+      apply: (document) => this.#configuration.apply(document),
+      ready: () => {
+        this.#isReady = true;
+      },
+      serviceHeard: () => {
+        this.#serviceHeardAt = this.#clock.now();
+        this.#credit.tellHolder({ kind: 'service-heard' });
+      },
+    });
+  }
+
+  #createCrashes(): CrashTask {
+    return new CrashTask({
+      clock: this.#clock,
+      spread: (marks) =>
+        this.#links.peers.forEach((peer) => this.#sendToPeer(peer, { kind: 'marks', marks })),
+      quarantined: (fingerprint) =>
+        this.#log.write({ kind: 'event', code: 'quarantined', details: { fingerprint } }),
+    });
+  }
+
+  #createPlacement(): Placement {
+    return new Placement({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      report: this.#report,
+      random: Math.random,
+      zone: this.#identity.zone,
+      region: () => this.#membership.region,
+      candidates: (service) => this.#membership.candidates(service),
+      candidateChange: (timeoutMs) => this.#membership.change(timeoutMs),
+      send: (backendServer, call) => this.#sendCall(backendServer, call),
+      attempted: (backendServer, attempt) => this.#learnLoad(backendServer, attempt),
+    });
+  }
+
+  #createOrders(): OrderTask {
+    return new OrderTask({
+      identity: this.#identity,
+      secret: this.#settings.peerSecret,
+      clock: this.#clock,
+      log: this.#log,
+      report: this.#report,
+      place: (call) => this.#placement.place(call),
+      sendHome: (home, call, orderId) => this.#links.call(home, call, orderId),
+    });
+  }
+
+  #createEntry(): EntryTask {
+    return new EntryTask({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      prepare: prepare(this.#entryView()),
+      placement: this.#placement,
+      orders: this.#orders,
+      runs: this.#runs,
+      rootEnded: (call, placed) => this.#rootWatch.ended(call, placed),
+      cancelAt: (peer, sendId) => this.#cancelAt(peer, sendId),
+    });
+  }
+
+  #createRouter(): PeerRouter {
+    return new PeerRouter({
+      identity: this.#identity,
+      links: this.#links,
+      membership: this.#membership,
+      spread: this.#spread,
+      credit: this.#credit,
+      crashes: this.#crashes,
+      orders: this.#orders,
+      gate: () => this.#configuration.gate,
+      metrics: this.#metrics,
+      log: this.#log,
+    });
+  }
+
+  #createCallers(tls: TlsMaterial | null): CallerListener {
+    return new CallerListener({
+      clock: this.#clock,
+      tls,
+      maxBodyBytes: this.#settings.maxBodyBytes,
+      newRequestId: () => this.#ids.next(),
+      handle: (request) => this.#entry.handle(request),
+      issueOrder: (request) => this.#issueOrder(request),
+      abandoned: (requestId) => this.#entry.cancel(requestId),
+      isStopping: () => this.#isStopping,
+    });
+  }
+
+  #entryView(): EntryView {
+    return {
+      lookup: () => (this.#isReady ? this.#configuration.lookup : null),
+      isIsolated: () => this.#cannotConfirm(),
+      verifyContext: (token) => this.#handles.verify(token),
+      isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
+      admitFraction: (route, caller) => this.#rootWatch.admitFraction(route, caller),
+      mayRepeat: (account, fingerprint) => this.#rootWatch.mayRepeat(account, fingerprint),
+      spend: (requestId, account) => this.#credit.spend(requestId, account),
+      inherit: (child) => this.#runs.startChild(child),
+      report: this.#report,
+    };
+  }
+
+  /** A key may have been withdrawn without this node being able to learn of it. */
+  #cannotConfirm(): boolean {
+    const { isolationLimitMs, staleLimitMs } = this.#settings;
+    const hasService = this.#clock.now() - this.#serviceHeardAt < isolationLimitMs;
+    if (!hasService && this.#membership.isIsolated(isolationLimitMs)) return true;
+    return staleLimitMs > 0 && this.#spread.heartbeat.serviceAgeMs > staleLimitMs;
+  }
+
+  #issueOrder(request: RawRequest): EntryReply {
+    const view = this.#entryView();
+    return accept(request)
+      .andThen(authenticate(view))
+      .match(
+        ({ origin }) => this.#entry.orderReply(request, origin),
+        (refused) => this.#entry.refuse(request, refused),
+      );
+  }
+
+  #sendCall(backendServer: BackendServerName, call: Call): Promise<Attempt> {
+    if (backendServer !== this.#identity.node) return this.#links.call(backendServer, call, null);
+    const { gate } = this.#configuration;
+    if (gate === null) return Promise.resolve({ kind: 'unsent' });
+    return new Promise((resolve) => {
+      gate.admit(call, (answer: Answer) => resolve({ kind: 'replied', answer }));
+    });
+  }
+
+  #cancelAt(peer: BackendServerName, sendId: RequestId): void {
+    if (peer === this.#identity.node) this.#configuration.gate?.cancel(sendId);
+    else this.#links.cancel(peer, sendId);
+  }
+
+  #learnLoad(peer: BackendServerName, attempt: Attempt): void {
+    if (attempt.kind !== 'replied') return;
+    const { load, outcome } = attempt.answer;
+    const refused = outcome.kind === 'refused';
+    this.#membership.send({ kind: 'frame-received', peer, isUse: true });
+    this.#membership.send({ kind: 'load-told', peer, load, refused });
+  }
+
+  #createGate(backendServer: BackendServer): GateTask {
+    return new GateTask({
+      backendServer,
+      url: this.#settings.backendServerUrl,
+      maxBodyBytes: this.#settings.maxBodyBytes,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      report: this.#report,
+      handles: this.#handles,
+      runs: this.#runs,
+      isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
+      hasMark: (fingerprint) => this.#crashes.hasMark(fingerprint),
+      crashed: (fingerprints) => this.#crashed(fingerprints),
+      completed: (fingerprint) => this.#crashes.send({ kind: 'completed', fingerprint }),
+    });
+  }
+
+  #crashed(fingerprints: readonly string[]): void {
+    this.#crashCount += 1;
+    const { node, incarnation } = this.#identity;
+    const crashId = `${node}-${incarnation}-${this.#crashCount}`;
+    this.#crashes.send({ kind: 'crashed', crashId, fingerprints });
+  }
+}
--- /dev/null
+++ b/src/runtime/peer-router.ts
@@ -0,0 +1,209 @@
+import {
+  learnIncarnations,
+  NO_INCARNATIONS,
+  type Incarnations,
+} from '../core/membership/incarnations.js';
+import type { Identity } from '../core/membership/handshake.js';
+import type { Call } from '../core/model/call.js';
+import type { PeerMessage, SeatIncarnation } from '../core/model/peer-message.js';
+import type { CrashTask } from './crash-task.js';
+import type { CreditTask } from './credit-task.js';
+import type { GateTask } from './gate-task.js';
+import type { LinkTable, TableEvent } from './link-table.js';
+import type { Metrics } from './metrics.js';
+import type { Log } from '../core/logs/log-entry.js';
+import type { MembershipTask } from './membership-task.js';
+import type { OrderTask } from './order-task.js';
+import type { LinkEvent, PeerLink } from './peer-link.js';
+import type { SpreadTask } from './spread-task.js';
+
+/** The tasks that handle messages of peers. */
+export interface PeerRouterOptions {
+  readonly identity: Identity;
+  readonly links: LinkTable;
+  readonly membership: MembershipTask;
+  readonly spread: SpreadTask;
+  readonly credit: CreditTask;
+  readonly crashes: CrashTask;
+  readonly orders: OrderTask;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  /** The gate, or null before the first configuration. */
+  readonly gate: () => GateTask | null;
+}
+
+/** Hands each message of a peer to the task that owns the state it is about. */
+export class PeerRouter {
+  readonly #options: PeerRouterOptions;
+
+  #incarnations: Incarnations = NO_INCARNATIONS;
+
+  /**
+   * @param options - the tasks
+   */
+  constructor(options: PeerRouterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Handles an event of a link.
+   *
+   * @param event - the event
+   */
+  receiveTableEvent(event: TableEvent): void {
+    switch (event.kind) {
+      case 'connect-failed':
+        this.#options.membership.send({ kind: 'link-closed', peer: event.peer });
+        break;
+      case 'link':
+        this.#receiveLinkEvent(event.event, event.link);
+        break;
+    }
+  }
+
+  #receiveLinkEvent(event: LinkEvent, link: PeerLink): void {
+    switch (event.kind) {
+      case 'opened':
+        this.#opened(event.identity);
+        break;
+      case 'message':
+        this.#receive(event.identity, event.message, link);
+        break;
+      case 'late-answer':
+        this.#options.metrics.lateAnswers.inc();
+        break;
+      case 'silent':
+        this.#event('linkSilent', { peer: event.identity.node });
+        break;
+      case 'frame-invalid':
+        this.#event('peerFrameInvalid', {
+          peer: link.peer?.node ?? 'unknown',
+          reason: event.reason,
+        });
+        break;
+      case 'unproven':
+        this.#event('peerUnproven', { address: event.reason });
+        break;
+      case 'closed':
+        if (event.identity !== null) this.#closed(event.identity);
+        break;
+    }
+  }
+
+  #closed({ node }: Identity): void {
+    const { membership, credit, metrics, links } = this.#options;
+    membership.send({ kind: 'link-closed', peer: node });
+    credit.seatLost(node);
+    metrics.links.set(links.peers.length);
+  }
+
+  #event(
+    code: 'linkSilent' | 'peerFrameInvalid' | 'peerUnproven',
+    details: Readonly<Record<string, string>>,
+  ): void {
+    this.#options.metrics.events.inc({ code });
+    this.#options.log.write({ kind: 'event', code, details });
+  }
+
+  #opened(peer: Identity): void {
+    const { credit, membership } = this.#options;
+    membership.send({ kind: 'link-opened', peer: peer.node });
+    credit.tellHolder({ kind: 'zone-heard', zone: peer.zone });
+    this.#options.metrics.links.set(this.#options.links.peers.length);
+    this.#learn([{ seat: peer.node, incarnation: peer.incarnation }]);
+  }
+
+  #receive(peer: Identity, message: PeerMessage, link: PeerLink): void {
+    const { membership, spread, credit, crashes, orders, gate } = this.#options;
+    const { node } = peer;
+    const isUse = message.kind === 'call' || message.kind === 'order-call';
+    membership.send({ kind: 'frame-received', peer: node, isUse });
+    switch (message.kind) {
+      case 'ping':
+        credit.tellHolder({ kind: 'zone-heard', zone: peer.zone });
+        spread.send({ ...message, kind: 'heads-received', peer: node });
+        break;
+      case 'announce': {
+        const { head, serviceAgeMs } = message;
+        spread.send({ kind: 'heads-received', peer: node, heads: [head], serviceAgeMs });
+        break;
+      }
+      case 'pull':
+        spread.send({ ...message, kind: 'pull-received', peer: node });
+        break;
+      case 'delta':
+        spread.send({ kind: 'delta-received', peer: node, delta: message.delta });
+        break;
+      case 'document':
+        spread.send({ kind: 'document-received', peer: node, document: message.document });
+        break;
+      case 'call':
+        this.#admit(message.call, link);
+        break;
+      case 'order-call':
+        void orders.runHere(message.call, message.orderId).then((placed) => {
+          const { requestId } = message.call;
+          link.answer({ requestId, ...placed, load: this.#load() });
+        });
+        break;
+      case 'cancel':
+        gate()?.cancel(message.requestId);
+        break;
+      case 'draw':
+        credit.draw(node, message);
+        break;
+      case 'grant':
+        credit.granted(node, message);
+        break;
+      case 'settlement':
+        credit.settled(node, message);
+        break;
+      case 'marks':
+        crashes.send({ kind: 'marks-received', marks: message.marks });
+        break;
+      case 'incarnations':
+        this.#learn(message.seen);
+        break;
+      case 'leaving':
+        membership.send({ kind: 'peer-leaving', peer: node, forMs: message.forMs });
+        break;
+      // The link itself handles these.
+      case 'pong':
+      case 'answer':
+        break;
+    }
+  }
+
+  #load() {
+    return (
+      this.#options.gate()?.load ?? { state: 'serving' as const, running: 0, queued: 0, limit: 0 }
+    );
+  }
+
+  #admit(call: Call, link: PeerLink): void {
+    const gate = this.#options.gate();
+    if (gate !== null) {
+      gate.admit(call, (answer) => link.answer(answer));
+      return;
+    }
+    link.answer({
+      requestId: call.requestId,
+      outcome: { kind: 'refused', code: 'notReady', retryAfterMs: 0 },
+      retriesSpent: 0,
+      feedback: [],
+      load: this.#load(),
+    });
+  }
+
+  /** Passes on newer incarnations, so that an older holder of the same seat stops granting. */
+  #learn(seen: readonly SeatIncarnation[]): void {
+    const { identity, links, membership, credit } = this.#options;
+    const { known, news } = learnIncarnations(this.#incarnations, seen);
+    this.#incarnations = known;
+    news
+      .filter(({ seat }) => seat === identity.node)
+      .forEach(({ incarnation }) => credit.tellHolder({ kind: 'incarnation-heard', incarnation }));
+    if (news.length === 0) return;
+    membership.neighbours.forEach((peer) => links.send(peer, { kind: 'incarnations', seen: news }));
+  }
+}
--- /dev/null
+++ b/src/runtime/root-watch.ts
@@ -0,0 +1,86 @@
+import type { Call, Caller } from '../core/model/call.js';
+import type { Route } from '../core/model/configuration.js';
+import type { AccountName } from '../core/model/names.js';
+import type { Clock } from '../core/model/time.js';
+import {
+  admitFractionFor,
+  INITIAL_PRESSURE,
+  prunePressure,
+  recordFeedback,
+  type Pressure,
+} from '../core/pressure/pressure.js';
+import {
+  admitRoot,
+  INITIAL_CALLER_RETRIES,
+  recordRootResult,
+  type CallerRetries,
+} from '../core/retry/caller-retry.js';
+import type { Placed } from './placement.js';
+
+const PRUNE_INTERVAL_MS = 5000;
+const MIN_SERVER_ERROR = 500;
+
+/** Owner of what an entry learns from the ends of its root requests. */
+export class RootWatch {
+  readonly #clock: Clock;
+
+  readonly #ticker: NodeJS.Timeout;
+
+  #pressure: Pressure = INITIAL_PRESSURE;
+
+  #retries: CallerRetries = INITIAL_CALLER_RETRIES;
+
+  /**
+   * @param clock - monotonic clock
+   */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#ticker = setInterval(() => {
+      this.#pressure = prunePressure(this.#pressure, clock.now());
+    }, PRUNE_INTERVAL_MS);
+  }
+
+  /**
+   * @param route - route of a root request
+   * @param caller - its caller
+   * @returns fraction of root hashes that the services behind the route can take
+   */
+  admitFraction(route: Route, caller: Caller): number {
+    return admitFractionFor(this.#pressure, route.name, caller, this.#clock.now());
+  }
+
+  /**
+   * Counts a root request against the retry budget of its caller.
+   *
+   * @param account - the account
+   * @param fingerprint - fingerprint of the request
+   * @returns whether it is a first request, a permitted repeat, or one too many
+   */
+  mayRepeat(account: AccountName, fingerprint: string): 'first' | 'repeat' | 'no' {
+    const caller: Caller = { kind: 'account', account };
+    const request = { caller, fingerprint, now: this.#clock.now() };
+    const { state, isRepeat, isAdmitted } = admitRoot(this.#retries, request);
+    this.#retries = state;
+    if (!isAdmitted) return 'no';
+    return isRepeat ? 'repeat' : 'first';
+  }
+
+  /**
+   * Learns from the end of a root request.
+   *
+   * @param call - the root request
+   * @param placed - what became of it
+   */
+  ended(call: Call, { outcome, feedback }: Placed): void {
+    const { route, caller, fingerprint } = call;
+    const now = this.#clock.now();
+    this.#pressure = recordFeedback(this.#pressure, { route, caller, feedback, now });
+    const hasSucceeded = outcome.kind === 'answered' && outcome.status < MIN_SERVER_ERROR;
+    this.#retries = recordRootResult(this.#retries, { caller, fingerprint, now }, hasSucceeded);
+  }
+
+  /** Stops the timer. */
+  close(): void {
+    clearInterval(this.#ticker);
+  }
+}
