--- /dev/null
+++ b/src/core/membership/link-health.ts
@@ -0,0 +1,170 @@
+import type { Instant, Milliseconds } from '../model/time.js';
+import { step, type Decision, type Step } from '../task/decision.js';
+
+/** Time without any frame after which a ping is sent: while answers are awaited, and idle. */
+const HEARTBEAT_INTERVAL_MS = 150;
+const IDLE_HEARTBEAT_INTERVAL_MS = 1000;
+
+/** Time without any frame after which a link counts as silent. */
+const SILENCE_LIMIT_MS = 500;
+const IDLE_SILENCE_LIMIT_MS = 3000;
+
+/**
+ * A busy link still carries pings at this interval, since they bring the heads and the age of the
+ * last read of the configuration service. It is below the 2 s after which nodes read by themselves.
+ */
+const REGULAR_PING_INTERVAL_MS = 1500;
+
+/** A tick later than this means that the own process was paused; the peer is not to blame. */
+const LATE_TICK_MS = 250;
+
+const TICK_MS = 50;
+
+/** Two monotonic clocks drift apart by at most this fraction. */
+const DRIFT = 0.0005;
+
+/** Messages to the health of one link. */
+export type LinkHealthMessage =
+  | { readonly kind: 'opened' }
+  | { readonly kind: 'frame-received' }
+  | { readonly kind: 'ping-received'; readonly sentAt: Instant }
+  | {
+      readonly kind: 'pong-received';
+      readonly echoedSentAt: Instant;
+      readonly receivedAt: Instant;
+    }
+  | { readonly kind: 'calls-outstanding'; readonly count: number }
+  | { readonly kind: 'tick' };
+
+/** What the health of a link asks its task to do. */
+export type LinkHealthEffect =
+  | { readonly kind: 'send-ping'; readonly sentAt: Instant }
+  | { readonly kind: 'send-pong'; readonly echoedSentAt: Instant; readonly receivedAt: Instant }
+  /** The link has to be closed and replaced. */
+  | { readonly kind: 'silent' };
+
+/** A lower bound of the peer's clock minus the own clock, and when it was learned. */
+interface OffsetBound {
+  readonly offset: Milliseconds;
+  readonly at: Instant;
+}
+
+/** State of one link; a new link starts with a new state. */
+export interface LinkHealth {
+  readonly lastReceivedAt: Instant;
+  readonly lastPingAt: Instant;
+  readonly lastTickAt: Instant;
+  readonly outstanding: number;
+  /** Since when an answer has been awaited without any frame; null when none is. */
+  readonly unansweredSince: Instant | null;
+  readonly isSilent: boolean;
+  readonly offsetBound: OffsetBound | null;
+}
+
+/** The state of a link that is not open yet. */
+export const initialLinkHealth: LinkHealth = {
+  lastReceivedAt: 0,
+  lastPingAt: 0,
+  lastTickAt: 0,
+  outstanding: 0,
+  unansweredSince: null,
+  isSilent: false,
+  offsetBound: null,
+};
+
+function receive(state: LinkHealth, now: Instant): LinkHealth {
+  const unansweredSince = state.outstanding > 0 ? now : null;
+  return { ...state, lastReceivedAt: now, unansweredSince };
+}
+
+function learnOffset(state: LinkHealth, peerInstant: Instant, now: Instant): LinkHealth {
+  const offset = peerInstant - now;
+  const { offsetBound } = state;
+  const isBetter =
+    offsetBound === null || offset > offsetBound.offset - DRIFT * (now - offsetBound.at);
+  return isBetter ? { ...state, offsetBound: { offset, at: now } } : state;
+}
+
+/** Moves the instants forward by the time in which the own process did not run. */
+function forgivePause(state: LinkHealth, now: Instant): LinkHealth {
+  const gapMs = now - state.lastTickAt;
+  const pausedMs = gapMs > LATE_TICK_MS ? gapMs - TICK_MS : 0;
+  const { lastReceivedAt, unansweredSince } = state;
+  return {
+    ...state,
+    lastTickAt: now,
+    lastReceivedAt: Math.min(now, lastReceivedAt + pausedMs),
+    unansweredSince: unansweredSince === null ? null : Math.min(now, unansweredSince + pausedMs),
+  };
+}
+
+function supervise(state: LinkHealth, now: Instant): Step<LinkHealth, LinkHealthEffect> {
+  if (state.isSilent) return step(state);
+  const { lastReceivedAt, lastPingAt, outstanding, unansweredSince } = state;
+  const isUnanswered =
+    outstanding > 0 && unansweredSince !== null && now - unansweredSince >= SILENCE_LIMIT_MS;
+  if (isUnanswered || now - lastReceivedAt >= IDLE_SILENCE_LIMIT_MS) {
+    return step({ ...state, isSilent: true }, { kind: 'silent' });
+  }
+  // A call that was cancelled keeps the short interval until a frame has cleared the doubt.
+  const intervalMs = unansweredSince === null ? IDLE_HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
+  const isQuiet = now - lastReceivedAt >= intervalMs && now - lastPingAt >= intervalMs;
+  if (!isQuiet && now - lastPingAt < REGULAR_PING_INTERVAL_MS) return step(state);
+  return step({ ...state, lastPingAt: now }, { kind: 'send-ping', sentAt: now });
+}
+
+/**
+ * Decides on the heartbeats of one link. Any frame is a sign of life: a ping is sent when nothing
+ * was received for the interval, and now and then on a busy link. `tick` comes every 50 ms.
+ *
+ * @param state - state of the link
+ * @param message - the message
+ * @param now - the current instant
+ * @returns the step
+ */
+export const decideLink: Decision<LinkHealth, LinkHealthMessage, LinkHealthEffect> = (
+  state,
+  message,
+  now,
+) => {
+  switch (message.kind) {
+    case 'opened':
+      return step(
+        { ...initialLinkHealth, lastReceivedAt: now, lastPingAt: now, lastTickAt: now },
+        { kind: 'send-ping', sentAt: now },
+      );
+    case 'frame-received':
+      return step(receive(state, now));
+    case 'ping-received':
+      return step(learnOffset(receive(state, now), message.sentAt, now), {
+        kind: 'send-pong',
+        echoedSentAt: message.sentAt,
+        receivedAt: now,
+      });
+    case 'pong-received':
+      return step(learnOffset(receive(state, now), message.receivedAt, now));
+    case 'calls-outstanding': {
+      const isFirst = message.count > 0 && state.unansweredSince === null;
+      const unansweredSince = isFirst ? now : state.unansweredSince;
+      return step({ ...state, outstanding: message.count, unansweredSince });
+    }
+    case 'tick':
+      return supervise(forgivePause(state, now), now);
+  }
+};
+
+/**
+ * Translates a deadline on the own clock to the peer's clock so that the peer, which acts only
+ * before the translated instant, never acts after the deadline. A peer's instant p that has
+ * reached this node by its own instant t was read at or before t, so offset = peer - own is at
+ * least p - t under any delay; deadline + (p - t), less the drift since then, is never too late.
+ *
+ * @param state - state of the link
+ * @param instant - the deadline on the own clock
+ * @returns the deadline on the peer's clock, or null before the peer's clock has been seen
+ */
+export function toPeerClock(state: LinkHealth, instant: Instant): Instant | null {
+  if (state.offsetBound === null) return null;
+  const { offset, at } = state.offsetBound;
+  return instant + offset - DRIFT * Math.max(0, instant - at);
+}
--- /dev/null
+++ b/src/core/membership/link-plan.ts
@@ -0,0 +1,110 @@
+import { Map as PersistentMap } from 'immutable';
+import type { Host } from '../model/host.js';
+import type { BackendServerName, ServiceName } from '../model/names.js';
+import { rankByRendezvous } from '../routing/rendezvous.js';
+import { isSuspect, isZoneIn, regionOf, type MembershipState } from './membership-state.js';
+
+/** Neighbours in the own zone and in other zones; announcements go to all of them. */
+const OWN_ZONE_NEIGHBOURS = 3;
+const OTHER_ZONE_NEIGHBOURS = 2;
+
+/** Backend servers of one service that a node keeps links to, which bounds links at scale. */
+const SUBSET_LIMIT = 10;
+
+/** Places of a subset kept for other zones: spilled calls compare two candidates and one spare. */
+const OTHER_ZONE_PLACES = 3;
+
+/** Sorts suspects behind all others and keeps the order otherwise. */
+function workingFirst(
+  state: MembershipState,
+  names: readonly BackendServerName[],
+): readonly BackendServerName[] {
+  const suspects = names.filter((name) => isSuspect(state, name));
+  return [...names.filter((name) => !suspects.includes(name)), ...suspects];
+}
+
+function chooseNeighbours(state: MembershipState): readonly BackendServerName[] {
+  const own = workingFirst(state, state.rankings.get(state.zone) ?? []);
+  const zones = [...state.rankings.keys()].filter((zone) => zone !== state.zone);
+  // The first host of each other zone comes first, so that the loss of a zone leaves a link.
+  const columns = rankByRendezvous(state.node, zones).map((zone) =>
+    workingFirst(state, state.rankings.get(zone) ?? []),
+  );
+  const others = [0, 1].flatMap((row) => columns.flatMap((column) => column.slice(row, row + 1)));
+  return [
+    ...own.slice(0, OWN_ZONE_NEIGHBOURS),
+    ...workingFirst(state, others).slice(0, OTHER_ZONE_NEIGHBOURS),
+  ];
+}
+
+/** Takes one host of each zone before the second of any, the own region first. */
+function interleaveZones(state: MembershipState, hosts: readonly Host[]): readonly Host[] {
+  const seen = new Map<string, number>();
+  const ownRegion = regionOf(state, state.zone);
+  return hosts
+    .map((host) => {
+      const row = seen.get(host.zone) ?? 0;
+      seen.set(host.zone, row + 1);
+      const regionRank = regionOf(state, host.zone) === ownRegion ? 0 : 1;
+      return { host, regionRank, suspicion: isSuspect(state, host.backendServer) ? 1 : 0, row };
+    })
+    .sort(
+      (left, right) =>
+        left.suspicion - right.suspicion ||
+        left.regionRank - right.regionRank ||
+        left.row - right.row,
+    )
+    .map(({ host }) => host);
+}
+
+function chooseSubset(state: MembershipState, service: ServiceName): readonly Host[] {
+  const eligible = [...state.hostByName.values()].filter(
+    (host) => host.service === service && host.state === 'live' && isZoneIn(state, host.zone),
+  );
+  const names = eligible.map((host) => host.backendServer);
+  const ranked = workingFirst(state, rankByRendezvous(`${state.node} ${service}`, names));
+  const byName = new Map(eligible.map((host) => [host.backendServer, host]));
+  const hosts = ranked.map((name) => byName.get(name)).filter((host) => host !== undefined);
+  const self = hosts.filter((host) => host.backendServer === state.node);
+  const own = hosts.filter((host) => host.zone === state.zone && host.backendServer !== state.node);
+  const others = interleaveZones(
+    state,
+    hosts.filter((host) => host.zone !== state.zone),
+  );
+  const ownPlaces = SUBSET_LIMIT - Math.min(OTHER_ZONE_PLACES, others.length);
+  const local = [...self, ...own].slice(0, ownPlaces);
+  return [...local, ...others.slice(0, SUBSET_LIMIT - local.length)];
+}
+
+/**
+ * Chooses neighbours and the backend servers to keep links to.
+ *
+ * @param state - state of the membership
+ * @returns the state with a new plan
+ */
+export function planLinks(state: MembershipState): MembershipState {
+  const subsets = PersistentMap(
+    [...state.services.keys()].map((service) => [service, chooseSubset(state, service)] as const),
+  );
+  return { ...state, plan: { neighbours: chooseNeighbours(state), subsets } };
+}
+
+/**
+ * Lists the peers that this node keeps links to.
+ *
+ * @param state - state of the membership
+ * @returns address by name; the name of a seed is its address
+ */
+export function wantedLinks(state: MembershipState): ReadonlyMap<BackendServerName, string> {
+  const subsets = [...state.plan.subsets.values()].flat().map((host) => host.backendServer);
+  const names = [...state.plan.neighbours, ...subsets, ...state.seats];
+  const wanted = new Map<BackendServerName, string>();
+  names.forEach((name) => {
+    const address = state.hostByName.get(name)?.peerAddress;
+    if (address !== undefined && name !== state.node) wanted.set(name, address);
+  });
+  // Seeds serve a node that is alone: at the start, and when the host list has become useless.
+  const isAlone = !state.links.some((link) => link.state === 'open');
+  if (isAlone) state.seeds.forEach((address) => wanted.set(address, address));
+  return wanted;
+}
--- a/src/core/membership/membership-message.ts
+++ b/src/core/membership/membership-message.ts
@@ -12,10 +12,20 @@
   | { readonly kind: 'zones-configured'; readonly zones: readonly Zone[] }
   /** The list of one zone, which lags. */
   | { readonly kind: 'hosts-listed'; readonly zone: ZoneName; readonly hosts: readonly Host[] }
-  | { readonly kind: 'link-opened'; readonly peer: BackendServerName }
+  | {
+      readonly kind: 'link-opened';
+      readonly peer: BackendServerName;
+      /** Address that this node connected to; it settles a seed whose name was unknown. */
+      readonly address?: string;
+    }
   | { readonly kind: 'link-closed'; readonly peer: BackendServerName }
   /** A frame came from the peer. */
-  | { readonly kind: 'frame-received'; readonly peer: BackendServerName }
+  | {
+      readonly kind: 'frame-received';
+      readonly peer: BackendServerName;
+      /** True for calls and answers, which keep a link from being closed as idle. */
+      readonly isUse?: boolean;
+    }
   /** The peer said that it takes no new work for a while. */
   | {
       readonly kind: 'peer-leaving';
--- /dev/null
+++ b/test/core/membership/link-health.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  decideLink,
+  initialLinkHealth,
+  toPeerClock,
+  type LinkHealth,
+  type LinkHealthMessage,
+} from '../../../src/core/membership/link-health.js';
+
+type Script = readonly (readonly [now: number, message: LinkHealthMessage])[];
+
+/** Plays a script with a tick every 50 ms, and lists the effects with their instants. */
+function play(script: Script, untilMs: number): readonly string[] {
+  let state: LinkHealth = decideLink(initialLinkHealth, { kind: 'opened' }, 0).state;
+  const ticks: Script = Array.from({ length: untilMs / 50 }, (_, index) => [
+    (index + 1) * 50,
+    { kind: 'tick' },
+  ]);
+  return [...script, ...ticks]
+    .sort(([left], [right]) => left - right)
+    .flatMap(([now, message]) => {
+      const next = decideLink(state, message, now);
+      state = next.state;
+      return next.effects.map((effect) => `${effect.kind} ${now}`);
+    });
+}
+
+const outstanding = (count: number): LinkHealthMessage => ({ kind: 'calls-outstanding', count });
+
+test('a link with calls outstanding is silent after 500 ms, an idle one after 3 s', () => {
+  // Guards against calls that wait for a connection that has died without a sign.
+  const called = play([[1000, outstanding(1)]], 5000);
+  assert.deepEqual(called.at(-1), 'silent 1500');
+  assert.ok(called.includes('send-ping 1150'));
+  assert.deepEqual(play([], 5000).at(-1), 'silent 3000');
+});
+
+test('frames of any kind keep a link alive, and a busy link carries few pings', () => {
+  // Guards against a control overhead that adds to the traffic of a busy link.
+  const frames: Script = Array.from({ length: 100 }, (_, index) => [
+    index * 100 + 1,
+    { kind: 'frame-received' },
+  ]);
+  const effects = play([[0, outstanding(3)], ...frames], 10_000);
+  assert.ok(!effects.some((effect) => effect.startsWith('silent')));
+  assert.ok(effects.length <= 7, `${effects.length} pings in 10 s`);
+});
+
+test('a call that follows a cancelled one after a while does not make the link silent', () => {
+  // Guards against closing a healthy link because an old question had been given up.
+  const effects = play(
+    [
+      [0, outstanding(1)],
+      [10, outstanding(0)],
+      [160, { kind: 'pong-received', echoedSentAt: 150, receivedAt: 5 }],
+      [900, outstanding(1)],
+      [1100, { kind: 'frame-received' }],
+      [1101, outstanding(0)],
+    ],
+    1300,
+  );
+  assert.ok(!effects.some((effect) => effect.startsWith('silent')));
+});
+
+test('a pause of the own process does not make its links silent', () => {
+  // Guards against a node that wakes up late and replaces all its links at once.
+  const opened = decideLink(initialLinkHealth, { kind: 'opened' }, 0).state;
+  const called = decideLink(opened, outstanding(1), 10).state;
+  const before = decideLink(called, { kind: 'tick' }, 50).state;
+  const woken = decideLink(before, { kind: 'tick' }, 4000);
+  assert.ok(!woken.effects.some((effect) => effect.kind === 'silent'));
+});
+
+test('a translated deadline never lies after the deadline, under any delay and drift', () => {
+  // Guards against a gate that starts an order after its sender has given it up.
+  const exchange = fc.record({
+    waitMs: fc.double({ min: 0, max: 5000, noNaN: true }),
+    thereMs: fc.double({ min: 0, max: 3000, noNaN: true }),
+    backMs: fc.double({ min: 0, max: 3000, noNaN: true }),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(exchange, { minLength: 1, maxLength: 20 }),
+      fc.double({ min: -1e6, max: 1e6, noNaN: true }),
+      fc.double({ min: -4e-4, max: 4e-4, noNaN: true }),
+      fc.double({ min: 0, max: 60_000, noNaN: true }),
+      (exchanges, offset, drift, aheadMs) => {
+        const peerAt = (own: number) => own * (1 + drift) + offset;
+        let { state } = decideLink(initialLinkHealth, { kind: 'opened' }, 0);
+        let now = 0;
+        exchanges.forEach(({ waitMs, thereMs, backMs }) => {
+          const sentAt = now + waitMs;
+          const receivedAt = peerAt(sentAt + thereMs);
+          now = sentAt + thereMs + backMs;
+          state = decideLink(
+            state,
+            { kind: 'pong-received', echoedSentAt: sentAt, receivedAt },
+            now,
+          ).state;
+        });
+        const deadline = now + aheadMs;
+        const translated = toPeerClock(state, deadline);
+        assert.ok(translated !== null && translated <= peerAt(deadline) + 1e-6);
+      },
+    ),
+    { seed: 20_261_204, numRuns: 500 },
+  );
+});
--- /dev/null
+++ b/test/core/membership/membership.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Host } from '../../../src/core/model/host.js';
+import {
+  candidatesOf,
+  decideMembership,
+  initialMembership,
+  isIsolated,
+  type MembershipState,
+} from '../../../src/core/membership/membership.js';
+import type {
+  MembershipEffect,
+  MembershipMessage,
+} from '../../../src/core/membership/membership-message.js';
+
+const ZONES = ['a', 'b', 'c', 'd'];
+
+function hostsOf(zone: string, count: number): readonly Host[] {
+  return Array.from({ length: count }, (_, index) => ({
+    backendServer: `stockroom-${zone}${index}`,
+    service: 'stockroom',
+    zone,
+    peerAddress: `127.0.0.1:${zone.charCodeAt(0)}${index}`,
+    state: 'live' as const,
+  }));
+}
+
+const zonesIn: MembershipMessage = {
+  kind: 'zones-configured',
+  zones: ZONES.map((name) => ({ name, region: 'scotland', state: 'in' })),
+};
+
+/** A membership that answers every connect with an open link, but for peers that are down. */
+class Node {
+  state: MembershipState;
+
+  now = 0;
+
+  readonly effects: MembershipEffect[] = [];
+
+  readonly down = new Set<string>();
+
+  constructor(seeds: readonly string[] = []) {
+    this.state = initialMembership({ node: 'stockroom-a0', zone: 'a', seeds, random: () => 0.5 });
+  }
+
+  send(message: MembershipMessage): void {
+    const { state, effects } = decideMembership(this.state, message, this.now);
+    this.state = state;
+    this.effects.push(...effects);
+    effects.forEach((effect) => {
+      if (effect.kind !== 'connect') return;
+      const kind = this.down.has(effect.peer) ? 'link-closed' : 'link-opened';
+      this.send({ kind, peer: effect.peer });
+    });
+  }
+
+  run(untilMs: number): void {
+    while (this.now < untilMs) {
+      this.now += 100;
+      this.send({ kind: 'tick' });
+    }
+  }
+
+  list(count: number): void {
+    this.send(zonesIn);
+    ZONES.forEach((zone) => this.send({ kind: 'hosts-listed', zone, hosts: hostsOf(zone, count) }));
+  }
+
+  connects(peer?: string): number {
+    return this.effects.filter(
+      (effect) => effect.kind === 'connect' && (peer === undefined || effect.peer === peer),
+    ).length;
+  }
+
+  candidates(): readonly string[] {
+    return candidatesOf(this.state, 'stockroom', this.now).map(
+      ({ backendServer }) => backendServer,
+    );
+  }
+}
+
+test('the links of a node do not grow with the fleet', () => {
+  // Guards against a full mesh at 7,400 hosts.
+  const node = new Node();
+  node.list(500);
+  node.send({ kind: 'service-wanted', service: 'stockroom' });
+  node.run(1000);
+  const neighbours = node.effects.filter((effect) => effect.kind === 'neighbours-changed').at(-1);
+  assert.ok(neighbours?.kind === 'neighbours-changed' && neighbours.neighbours.length <= 16);
+  assert.equal(node.candidates().length, 10);
+  assert.ok(node.candidates().some((name) => !name.startsWith('stockroom-a')));
+  // Lists arrive zone by zone, and the links chosen before the last list stay until they are idle.
+  node.run(50_000);
+  node.send({ kind: 'service-wanted', service: 'stockroom' });
+  node.run(70_000);
+  const open = node.state.links.filter((link) => link.state === 'open').size;
+  assert.ok(open <= 14, `${open} links`);
+});
+
+test('peers that cannot be reached are replaced by others, and retried with back-off', () => {
+  // Guards against a node that is cut off because its host list names dead hosts.
+  const node = new Node();
+  hostsOf('a', 500)
+    .slice(0, 400)
+    .forEach((host) => node.down.add(host.backendServer));
+  node.list(500);
+  node.run(20_000);
+  const own = node.state.plan.neighbours.filter((name) => name.startsWith('stockroom-a'));
+  assert.equal(own.length, 3);
+  assert.ok(own.every((name) => !node.down.has(name)));
+});
+
+test('a dead peer is tried at most every 2 s after some attempts', () => {
+  // Guards against a node that spends its time on connection attempts.
+  const node = new Node();
+  const peer = hostsOf('a', 2)[1]?.backendServer ?? '';
+  node.down.add(peer);
+  node.list(2);
+  node.run(20_000);
+  const before = node.connects(peer);
+  node.run(40_000);
+  assert.ok(node.connects(peer) - before <= 20, `${node.connects(peer) - before} attempts in 20 s`);
+  assert.ok(node.connects(peer) - before >= 8);
+});
+
+test('zones out, leaving hosts and hosts without open link are no candidates', () => {
+  // Guards against new work for a zone that operators took out and for a leaving server.
+  const node = new Node();
+  node.list(2);
+  node.send({ kind: 'service-wanted', service: 'stockroom' });
+  assert.equal(node.candidates().length, 8);
+  const [gone, leaving, full] = ['stockroom-b0', 'stockroom-c0', 'stockroom-c1'];
+  node.down.add(gone ?? '');
+  node.send({ kind: 'link-closed', peer: gone ?? '' });
+  node.send({ kind: 'peer-leaving', peer: leaving ?? '', forMs: 5000 });
+  const load = { state: 'zone-out', running: 0, queued: 0, limit: 1 } as const;
+  node.send({ kind: 'load-told', peer: full ?? '', load, refused: true });
+  const zones = ZONES.map((name) => ({
+    name,
+    region: 'scotland',
+    state: name === 'd' ? ('out' as const) : ('in' as const),
+  }));
+  node.send({ kind: 'zones-configured', zones });
+  assert.deepEqual([...node.candidates()].sort(), ['stockroom-a0', 'stockroom-a1', 'stockroom-b1']);
+  node.run(10_000);
+  assert.ok(node.candidates().includes(leaving ?? ''));
+});
+
+test('a link that this node opened is closed when idle, and one that a peer opened is not', () => {
+  // Guards against links that flap because both sides disagree on whether they are needed.
+  const node = new Node();
+  node.list(500);
+  const peer = 'stockroom-b77';
+  node.send({ kind: 'link-opened', peer });
+  node.send({ kind: 'service-wanted', service: 'stockroom' });
+  node.run(200_000);
+  const closed = node.effects.filter((effect) => effect.kind === 'disconnect');
+  assert.ok(closed.length > 0);
+  assert.ok(closed.every((effect) => effect.kind === 'disconnect' && effect.peer !== peer));
+  assert.equal(
+    node.connects(),
+    new Set(node.effects.flatMap((effect) => (effect.kind === 'connect' ? [effect.peer] : [])))
+      .size,
+  );
+});
+
+test('seeds are connected to while no link is open, and settled by their names', () => {
+  // Guards against a node that starts without host list and stays alone.
+  const node = new Node(['127.0.0.1:7001']);
+  node.down.add('127.0.0.1:7001');
+  node.run(3000);
+  assert.ok(node.connects('127.0.0.1:7001') > 2);
+  node.send({ kind: 'link-opened', peer: 'stockroom-b0', address: '127.0.0.1:7001' });
+  const before = node.connects();
+  node.run(10_000);
+  assert.equal(node.connects(), before);
+  assert.deepEqual([...node.state.links.keys()], ['stockroom-b0']);
+});
+
+test('a node without any frame from a peer counts as isolated after the limit', () => {
+  // Guards against withdrawn keys that go on working at a node that is cut off.
+  const node = new Node();
+  node.list(2);
+  node.send({ kind: 'frame-received', peer: 'stockroom-b0' });
+  assert.ok(!isIsolated(node.state, 4999, 5000));
+  assert.ok(isIsolated(node.state, 5000, 5000));
+});
