--- a/src/core/crash/crash-watch.ts
+++ b/src/core/crash/crash-watch.ts
@@ -13,6 +13,12 @@
 /** Fingerprints remembered at most; the ones marked longest ago are forgotten first. */
 const FINGERPRINT_LIMIT = 10_000;
 
+/** Kept when the limit is exceeded; rebuilding the order for each single mark takes too long. */
+const FINGERPRINTS_KEPT = 9_000;
+
+/** Views compare instants themselves, so old records are dropped only now and then. */
+const EXPIRY_INTERVAL_MS = 5000;
+
 /** Crashes remembered for one fingerprint; two are enough to quarantine it. */
 const CRASH_LIMIT = 8;
 
@@ -29,10 +35,14 @@
 /** State of the watch; the fingerprints marked longest ago come first. */
 export interface CrashState {
   readonly records: OrderedMap<string, FingerprintRecord>;
+  readonly expiredAt: Instant;
 }
 
 /** The state of a watch that has seen no crash. */
-export const initialCrashes: CrashState = { records: OrderedMap() };
+export const initialCrashes: CrashState = {
+  records: OrderedMap(),
+  expiredAt: Number.NEGATIVE_INFINITY,
+};
 
 const EMPTY: FingerprintRecord = {
   crashes: PersistentMap(),
@@ -71,12 +81,12 @@
   const records = state.records
     .delete(fingerprint)
     .set(fingerprint, { ...record, crashes, quarantinedUntil });
-  const bounded = records.size > FINGERPRINT_LIMIT ? records.rest() : records;
+  const bounded = records.size > FINGERPRINT_LIMIT ? records.takeLast(FINGERPRINTS_KEPT) : records;
   const isNewlyQuarantined = isQuarantineDue && !wasQuarantined;
   const effects: readonly CrashEffect[] = isNewlyQuarantined
     ? [{ kind: 'quarantined', fingerprint }]
     : [];
-  return step({ records: bounded }, ...effects);
+  return step({ ...state, records: bounded }, ...effects);
 }
 
 function addMarks(state: CrashState, marks: readonly DatedMark[], now: Instant): CrashStep {
@@ -100,10 +110,12 @@
 function clear(state: CrashState, fingerprint: string, now: Instant): CrashState {
   // Most calls have no record; remembering every completion would cost memory for nothing.
   if (!state.records.has(fingerprint)) return state;
-  return { records: state.records.set(fingerprint, { ...EMPTY, completedAt: now }) };
+  const record = { ...EMPTY, completedAt: now };
+  return { ...state, records: state.records.set(fingerprint, record) };
 }
 
 function expire(state: CrashState, now: Instant): CrashState {
+  if (now - state.expiredAt < EXPIRY_INTERVAL_MS) return state;
   const records = state.records.filter((record) => {
     const isCompletionFresh =
       record.completedAt !== null && now - record.completedAt < MARK_LIFETIME_MS;
@@ -111,7 +123,7 @@
       isCompletionFresh || now < record.quarantinedUntil || !liveCrashes(record, now).isEmpty()
     );
   });
-  return records.size === state.records.size ? state : { records };
+  return { records, expiredAt: now };
 }
 
 /**
