--- a/src/cli/terminal.ts
+++ b/src/cli/terminal.ts
@@ -13,10 +13,13 @@
  *
  * @param terminal - where to print
  * @param faults - the faults
- * @returns the exit code for invalid input
+ * @returns the exit code
  */
 export function printFaults(terminal: Terminal, faults: readonly Fault[]): ExitCode {
   faults.forEach((fault) => terminal.printError(formatFault(fault)));
   terminal.printError(`${faults.length} ${faults.length === 1 ? 'fault' : 'faults'}`);
-  return exitCodes.invalidInput;
+  // A path that cannot be written says nothing about the file set.
+  return faults.some(({ code }) => code === 'outputFailed')
+    ? exitCodes.unexpectedError
+    : exitCodes.invalidInput;
 }
--- a/src/core/settings/parse-settings.ts
+++ b/src/core/settings/parse-settings.ts
@@ -46,7 +46,8 @@
 
 const fileField = textField('the path of a PEM file', (text) => text !== '');
 
-const sections = {
+/** Sections of the settings file without the optional `tls`, with their fields. */
+export const settingsSections = {
   node: { backend_server: nameField, zone: nameField },
   listen: {
     caller: addressField,
@@ -81,9 +82,16 @@
   },
 };
 
-const tlsFields = { certificate_file: fileField, key_file: fileField, authority_file: fileField };
+/** Fields of the optional section `tls`. */
+export const tlsFields = {
+  certificate_file: fileField,
+  key_file: fileField,
+  authority_file: fileField,
+};
 
-type SectionValues = { readonly [K in keyof typeof sections]: Values<(typeof sections)[K]> };
+type SectionValues = {
+  readonly [K in keyof typeof settingsSections]: Values<(typeof settingsSections)[K]>;
+};
 type Root = Readonly<Record<string, unknown>>;
 
 function readSection<F extends Fields>(
@@ -97,7 +105,7 @@
 }
 
 function unknownSections(root: Root, source: string): readonly Fault[] {
-  const known = [...Object.keys(sections), 'tls'];
+  const known = [...Object.keys(settingsSections), 'tls'];
   return Object.keys(root)
     .filter((name) => !known.includes(name))
     .map((name) => faultAt('fieldUnknown', { source, path: name }, { expected: known.join(', ') }));
@@ -167,12 +175,12 @@
 
 function readSections(root: Root, source: string): Result<SectionValues, readonly Fault[]> {
   return Result.combineWithAllErrors([
-    readSection(root, source, 'node', sections.node),
-    readSection(root, source, 'listen', sections.listen),
-    readSection(root, source, 'backend_server', sections.backend_server),
-    readSection(root, source, 'configuration_service', sections.configuration_service),
-    readSection(root, source, 'fleet', sections.fleet),
-    readSection(root, source, 'limits', sections.limits),
+    readSection(root, source, 'node', settingsSections.node),
+    readSection(root, source, 'listen', settingsSections.listen),
+    readSection(root, source, 'backend_server', settingsSections.backend_server),
+    readSection(root, source, 'configuration_service', settingsSections.configuration_service),
+    readSection(root, source, 'fleet', settingsSections.fleet),
+    readSection(root, source, 'limits', settingsSections.limits),
   ])
     .map(([node, listen, backendServer, configurationService, fleet, limits]) => ({
       node,
