Let no fault of an entry hide another

An entry with one faulty field was left out of the comparison of parts, so an unknown reference or a shared key in the same entry showed only in the next check.

Entries are read field by field, and the comparison uses every field that could be read.

--- a/src/core/configuration/check-consistency.ts
+++ b/src/core/configuration/check-consistency.ts
@@ -17,59 +17,49 @@
 }
 
 function zoneFaults({ zones }: Entries, set: SourceSet): readonly Fault[] {
-  const defined = set.entries.filter(({ section }) => section === 'zones');
-  if (defined.length === 0 && set.isComplete) {
-    return [
-      inconsistent({ source: 'set', path: 'zones' }, 'no availability zone; expected at least one'),
-    ];
+  const [first] = zones.drafts;
+  if (!set.isComplete) {
+    return [];
   }
-  const first = zones[0];
-  const allOut =
-    set.isComplete &&
-    zones.length === defined.length &&
-    zones.every(({ value }) => value.state === 'out');
-  return first !== undefined && allOut
-    ? [
-        inconsistent(
-          placeIn(first.place, 'state'),
-          'all availability zones are out; expected at least one that is in',
-        ),
-      ]
+  if (first === undefined) {
+    const reason = 'no availability zone; expected at least one';
+    return [inconsistent({ source: 'set', path: 'zones' }, reason)];
+  }
+  const reason = 'all availability zones are out; expected at least one that is in';
+  return zones.drafts.every(({ draft }) => draft.state === 'out')
+    ? [inconsistent(placeIn(first.place, 'state'), reason)]
     : [];
 }
 
-function backendServerFaults({ value, place }: Placed<BackendServer>): readonly Fault[] {
-  const { slots, connections, coldCapacity } = value;
-  return [
-    ...(coldCapacity > slots
-      ? [
-          inconsistent(
-            placeIn(place, 'cold_capacity'),
-            `cold_capacity ${coldCapacity} is above slots ${slots}; expected at most the slots`,
-          ),
-        ]
-      : []),
+function backendServerFaults({ draft, place }: Placed<BackendServer>): readonly Fault[] {
+  const { slots, connections, coldCapacity } = draft;
+  const faults: (Fault | null)[] = [
+    slots !== undefined && coldCapacity !== undefined && coldCapacity > slots
+      ? inconsistent(
+          placeIn(place, 'cold_capacity'),
+          `cold_capacity ${coldCapacity} is above slots ${slots}; expected at most the slots`,
+        )
+      : null,
     // Each running call holds one connection of HTTP/1.1.
-    ...(connections < slots
-      ? [
-          inconsistent(
-            placeIn(place, 'connections'),
-            `connections ${connections} are below slots ${slots}; expected at least the slots`,
-          ),
-        ]
-      : []),
+    slots !== undefined && connections !== undefined && connections < slots
+      ? inconsistent(
+          placeIn(place, 'connections'),
+          `connections ${connections} are below slots ${slots}; expected at least the slots`,
+        )
+      : null,
   ];
+  return faults.filter((fault) => fault !== null);
 }
 
 function accountFaults(accounts: readonly Placed<Account>[]): readonly Fault[] {
   const holders = new Map<string, string>();
-  return accounts.flatMap(({ value, place }) => [
-    ...repeated(value.services).map((found) =>
+  return accounts.flatMap(({ name, draft, place }) => [
+    ...repeated(draft.services ?? []).map((found) =>
       faultAt('nameDuplicate', placeIn(place, 'services'), { found }),
     ),
-    ...value.keyHashes.flatMap((hash) => {
+    ...(draft.keyHashes ?? []).flatMap((hash) => {
       const holder = holders.get(hash);
-      holders.set(hash, holder ?? value.name);
+      holders.set(hash, holder ?? name);
       return holder === undefined
         ? []
         : [
@@ -83,76 +73,80 @@
 }
 
 interface Pattern {
-  readonly route: Route;
+  readonly name: string;
+  readonly path: string;
   readonly segments: readonly string[];
 }
 
 function ambiguityFaults(routes: readonly Placed<Route>[]): readonly Fault[] {
   // Of routes with unequal numbers of literal segments, one is more specific.
   const groups = new Map<string, Pattern[]>();
-  return routes.flatMap(({ value: route, place }) => {
-    const segments = pathSegments(route.path);
-    const key = `${route.service} ${route.method} ${segments.length} ${countLiterals(segments)}`;
+  return routes.flatMap(({ name, draft, place }) => {
+    const { service, method, path } = draft;
+    if (service === undefined || method === undefined || path === undefined) {
+      return [];
+    }
+    const segments = pathSegments(path);
+    const key = `${service} ${method} ${segments.length} ${countLiterals(segments)}`;
     const group = groups.get(key) ?? [];
     const rivals = group.filter(
-      (other) => other.route.name !== route.name && doOverlap(other.segments, segments),
+      (other) => other.name !== name && doOverlap(other.segments, segments),
     );
-    group.push({ route, segments });
+    group.push({ name, path, segments });
     groups.set(key, group);
     return rivals.map((other) =>
       inconsistent(
         placeIn(place, 'path'),
-        `${route.path} and ${other.route.path} of route ${other.route.name} match the same ${route.method} requests of ${route.service} equally; expected one with more literal segments`,
+        `${path} and ${other.path} of route ${other.name} match the same ${method} requests of ${service} equally; expected one with more literal segments`,
       ),
     );
   });
 }
 
-function routeFaults({ routes, backendServers }: Entries, set: SourceSet): readonly Fault[] {
-  const services = new Set(
-    set.entries.filter(({ section }) => section === 'services').map(({ name }) => name),
+function routeFaults(entries: Entries, set: SourceSet): readonly Fault[] {
+  const services = new Set(entries.services.drafts.map(({ name }) => name));
+  const offered = new Set(entries.backendServers.drafts.map(({ draft }) => draft.service));
+  // A backend server whose service could not be read may offer any.
+  const areAllKnown = set.isComplete && !offered.has(undefined);
+  return entries.routes.drafts.flatMap(({ draft, place }) =>
+    areAllKnown &&
+    draft.service !== undefined &&
+    services.has(draft.service) &&
+    !offered.has(draft.service)
+      ? [
+          inconsistent(
+            placeIn(place, 'service'),
+            `service ${draft.service} has no backend servers; expected at least one for the route`,
+          ),
+        ]
+      : [],
   );
-  const offered = new Set(backendServers.map(({ value }) => value.service));
-  // A backend server with faults of its own may offer any service.
-  const areAllRead =
-    set.isComplete &&
-    backendServers.length ===
-      set.entries.filter(({ section }) => section === 'backend_servers').length;
-  return routes
-    .filter(({ value }) => areAllRead && services.has(value.service) && !offered.has(value.service))
-    .map(({ value, place }) =>
-      inconsistent(
-        placeIn(place, 'service'),
-        `service ${value.service} has no backend servers; expected at least one for the route`,
-      ),
-    );
+}
+
+function seatFaults({ seats }: Entries, set: SourceSet): readonly Fault[] {
+  const place = { source: set.seats[0]?.place.source ?? '', path: 'seats' };
+  return repeated(seats ?? []).map((found) => faultAt('nameDuplicate', place, { found }));
 }
 
 /**
  * Finds parts of a set that disagree with each other.
  *
  * @param set - the joined set
- * @param entries - the entries that are in order
+ * @param entries - the entries of the set
  * @returns the faults
  */
 export function consistencyFaults(set: SourceSet, entries: Entries): readonly Fault[] {
-  const { seats, services, backendServers, accounts, routes } = entries;
+  const { services, backendServers, accounts, routes } = entries;
+  const reason = `the path /${RESERVED_SERVICE}/ belongs to the nodes; expected another name`;
   return [
-    ...(seats === null
-      ? []
-      : repeated(seats.value).map((found) => faultAt('nameDuplicate', seats.place, { found }))),
+    ...seatFaults(entries, set),
     ...zoneFaults(entries, set),
-    ...services
-      .filter(({ value }) => value.name === RESERVED_SERVICE)
-      .map(({ place }) =>
-        inconsistent(
-          place,
-          `the path /${RESERVED_SERVICE}/ belongs to the nodes; expected another name`,
-        ),
-      ),
-    ...backendServers.flatMap(backendServerFaults),
-    ...accountFaults(accounts),
-    ...ambiguityFaults(routes),
+    ...services.drafts
+      .filter(({ name }) => name === RESERVED_SERVICE)
+      .map(({ place }) => inconsistent(place, reason)),
+    ...backendServers.drafts.flatMap(backendServerFaults),
+    ...accountFaults(accounts.drafts),
+    ...ambiguityFaults(routes.drafts),
     ...routeFaults(entries, set),
   ];
 }
--- a/src/core/configuration/check-references.ts
+++ b/src/core/configuration/check-references.ts
@@ -30,33 +30,36 @@
  * own counts as defined, so that one fault is reported once.
  *
  * @param set - the joined set
- * @param entries - the entries that are in order
+ * @param entries - the entries of the set
  * @returns the faults
  */
 export function referenceFaults(set: SourceSet, entries: Entries): readonly Fault[] {
   const defined = definedNames(set);
   const unknown = (
     section: Section,
-    names: readonly string[],
+    names: readonly (string | undefined)[],
     place: Place,
     field: string,
   ): readonly Fault[] =>
     names
+      .filter((name) => name !== undefined)
       .filter((name) => !defined[section].has(name))
       .map((found) =>
         faultAt('referenceUnknown', placeIn(place, field), { found, expected: EXPECTED[section] }),
       );
   const { seats, backendServers, accounts, routes } = entries;
-  const root = { source: seats?.place.source ?? '', path: '' };
+  const root = { source: set.seats[0]?.place.source ?? '', path: '' };
   return [
-    ...unknown('backend_servers', seats?.value ?? [], root, 'seats'),
-    ...backendServers.flatMap(({ value, place }) => [
-      ...unknown('zones', [value.zone], place, 'zone'),
-      ...unknown('services', [value.service], place, 'service'),
+    ...unknown('backend_servers', seats ?? [], root, 'seats'),
+    ...backendServers.drafts.flatMap(({ draft, place }) => [
+      ...unknown('zones', [draft.zone], place, 'zone'),
+      ...unknown('services', [draft.service], place, 'service'),
     ]),
-    ...accounts.flatMap(({ value, place }) =>
-      unknown('services', value.services, place, 'services'),
+    ...accounts.drafts.flatMap(({ draft, place }) =>
+      unknown('services', draft.services ?? [], place, 'services'),
+    ),
+    ...routes.drafts.flatMap(({ draft, place }) =>
+      unknown('services', [draft.service], place, 'service'),
     ),
-    ...routes.flatMap(({ value, place }) => unknown('services', [value.service], place, 'service')),
   ];
 }
--- a/src/core/configuration/check-set.ts
+++ b/src/core/configuration/check-set.ts
@@ -3,12 +3,12 @@
 import type { Configuration } from '../model/configuration.js';
 import { consistencyFaults } from './check-consistency.js';
 import { referenceFaults } from './check-references.js';
-import { readEntries, type Placed } from './read-entries.js';
+import { readEntries, type Read } from './read-entries.js';
 import type { SourceSet } from './source-set.js';
 
 // Equal sets give equal configurations, whatever the order of files and entries.
-function sorted<T extends { readonly name: string }>(placed: readonly Placed<T>[]): readonly T[] {
-  return placed.map(({ value }) => value).sort((left, right) => (left.name < right.name ? -1 : 1));
+function sorted<T extends { readonly name: string }>({ values }: Read<T>): readonly T[] {
+  return [...values].sort((left, right) => (left.name < right.name ? -1 : 1));
 }
 
 /**
@@ -34,8 +34,8 @@
     return err(faults);
   }
   return ok({
-    revision: entries.revision.value,
-    seats: entries.seats.value,
+    revision: entries.revision,
+    seats: entries.seats,
     zones: sorted(entries.zones),
     services: sorted(entries.services),
     backendServers: sorted(entries.backendServers),
--- a/src/core/configuration/entry-fields.ts
+++ b/src/core/configuration/entry-fields.ts
@@ -79,8 +79,8 @@
       ROUTE_PATH_PATTERN.test(text) && (text === '/' || pathSegments(text).every(isPlainSegment)),
   ),
   importance: withDefault(choiceField(IMPORTANCES), 'normal'),
-  // Null until the method tells the default.
-  idempotent: withDefault(flagField(), null),
+  // Required for other methods than GET and HEAD.
+  idempotent: withDefault(flagField(), true),
   access: withDefault(choiceField(ACCESSES), 'keyed'),
   deadline_ms: integerField(1, MAX_DEADLINE_MS, 'milliseconds'),
   retries: withDefault(integerField(0, MAX_RETRIES, 'sends'), 2),
--- a/src/core/configuration/read-entries.ts
+++ b/src/core/configuration/read-entries.ts
@@ -1,11 +1,19 @@
-import { err, ok, type Result } from 'neverthrow';
 import type { Fault } from '../errors/fault.js';
 import type { Account, BackendServer, Route, Service, Zone } from '../model/configuration.js';
-import type { Field } from '../toml/field.js';
-import { faultAt, placeIn, readTable, type Place } from '../toml/read-table.js';
+import { flagField, type Field } from '../toml/field.js';
+import {
+  faultAt,
+  isTable,
+  readFields,
+  readTable,
+  type Draft,
+  type Place,
+  type Reading,
+} from '../toml/read-table.js';
 import {
   accountFields,
   backendServerFields,
+  METHODS,
   nameField,
   revisionField,
   routeFields,
@@ -15,65 +23,77 @@
 } from './entry-fields.js';
 import type { SourceEntry, SourceSet, SourceValue } from './source-set.js';
 
-/** A checked value and where it came from. */
+/** An entry as far as it could be read, and where it came from. */
 export interface Placed<T> {
-  readonly value: T;
+  readonly name: string;
+  readonly draft: Draft<T>;
   readonly place: Place;
 }
 
-/** Entries whose own fields are in order; the parts have not been compared yet. */
-export interface Entries {
-  readonly revision: Placed<number> | null;
-  readonly seats: Placed<readonly string[]> | null;
-  readonly zones: readonly Placed<Zone>[];
-  readonly services: readonly Placed<Service>[];
-  readonly backendServers: readonly Placed<BackendServer>[];
-  readonly accounts: readonly Placed<Account>[];
-  readonly routes: readonly Placed<Route>[];
+/** Entries of one kind. */
+export interface Read<T> {
+  /** Entries that are in order by themselves. */
+  readonly values: readonly T[];
+  /** All entries, for the comparison of parts. */
+  readonly drafts: readonly Placed<T>[];
+  readonly faults: readonly Fault[];
 }
 
-interface Read<T> {
-  readonly values: readonly Placed<T>[];
-  readonly faults: readonly Fault[];
+/** The entries of a set, each read by itself. */
+export interface Entries {
+  readonly revision: number | null;
+  readonly seats: readonly string[] | null;
+  readonly zones: Read<Zone>;
+  readonly services: Read<Service>;
+  readonly backendServers: Read<BackendServer>;
+  readonly accounts: Read<Account>;
+  readonly routes: Read<Route>;
 }
 
-type Reader<T> = (entry: SourceEntry) => Result<T, readonly Fault[]>;
-
-const readZone: Reader<Zone> = ({ name, value, place }) =>
-  readTable(zoneFields, value, place).map((fields) => ({ name, ...fields }));
-
-const readService: Reader<Service> = ({ name, value, place }) =>
-  readTable(serviceFields, value, place).map(() => ({ name }));
-
-const readBackendServer: Reader<BackendServer> = ({ name, value, place }) =>
-  readTable(backendServerFields, value, place).map(({ cold_capacity: coldCapacity, ...rest }) => ({
-    name,
-    ...rest,
-    coldCapacity,
-  }));
-
-const readAccount: Reader<Account> = ({ name, value, place }) =>
-  readTable(accountFields, value, place).map((fields) => ({
-    name,
-    keyHashes: fields.key_hashes,
-    ratePerSecond: fields.rate_per_second,
-    burst: fields.burst,
-    weight: fields.weight,
-    services: fields.services,
-  }));
-
-const readRoute: Reader<Route> = ({ name, value, place }) =>
-  readTable(routeFields, value, place).andThen<Route, readonly Fault[]>(
-    ({ deadline_ms: deadlineMs, idempotent, ...rest }) => {
-      // GET and HEAD are safe by RFC 9110; of other methods only the operators know.
-      const isSafe = rest.method === 'GET' || rest.method === 'HEAD';
-      if (idempotent === null && !isSafe) {
-        const expected = `true or false, since ${rest.method} requests may do harm when run twice`;
-        return err([faultAt('fieldMissing', placeIn(place, 'idempotent'), { expected })]);
-      }
-      return ok({ name, ...rest, idempotent: idempotent ?? true, deadlineMs });
-    },
-  );
+type Reader<T> = (entry: SourceEntry) => Reading<T>;
+
+const readZone: Reader<Zone> = ({ name, value, place }) => {
+  const { values, faults } = readFields(zoneFields, value, place);
+  return { values: { name, ...values }, faults };
+};
+
+const readService: Reader<Service> = ({ name, value, place }) => ({
+  values: { name },
+  faults: readFields(serviceFields, value, place).faults,
+});
+
+const readBackendServer: Reader<BackendServer> = ({ name, value, place }) => {
+  const { values, faults } = readFields(backendServerFields, value, place);
+  const { cold_capacity: coldCapacity, ...rest } = values;
+  return { values: { name, ...rest, coldCapacity }, faults };
+};
+
+const readAccount: Reader<Account> = ({ name, value, place }) => {
+  const { values, faults } = readFields(accountFields, value, place);
+  const { key_hashes: keyHashes, rate_per_second: ratePerSecond, ...rest } = values;
+  return { values: { name, ...rest, keyHashes, ratePerSecond }, faults };
+};
+
+/** GET and HEAD are safe by RFC 9110; of the other methods only the operators know. */
+const UNSAFE_METHODS: readonly unknown[] = METHODS.filter(
+  (method) => method !== 'GET' && method !== 'HEAD',
+);
+
+const unsafeRouteFields = {
+  ...routeFields,
+  idempotent: {
+    ...flagField(),
+    expected: 'true or false, since requests of this method may do harm when they run twice',
+  },
+};
+
+const readRoute: Reader<Route> = ({ name, value, place }) => {
+  const isUnsafe = isTable(value) && UNSAFE_METHODS.includes(value['method']);
+  const fields = isUnsafe ? unsafeRouteFields : routeFields;
+  const { values, faults } = readFields(fields, value, place);
+  const { deadline_ms: deadlineMs, ...rest } = values;
+  return { values: { name, ...rest, deadlineMs }, faults };
+};
 
 function nameFaults({ name, place }: SourceEntry): readonly Fault[] {
   return nameField.decode(name).caseOf<readonly Fault[]>({
@@ -86,17 +106,17 @@
  * An entry never changes, so one that stands in several versions of a document is read once. At
  * 17,000 entries this is most of the work of a check.
  */
-function remembered<T>(reader: Reader<T>): (entry: SourceEntry) => Read<T> {
-  const known = new WeakMap<SourceEntry, Read<T>>();
+function remembered<T>(reader: Reader<T>): Reader<T> {
+  const known = new WeakMap<SourceEntry, Reading<T>>();
   return (entry) => {
-    const read =
-      known.get(entry) ??
-      reader(entry).match<Read<T>>(
-        (value) => ({ values: [{ value, place: entry.place }], faults: nameFaults(entry) }),
-        (faults) => ({ values: [], faults: [...nameFaults(entry), ...faults] }),
-      );
-    known.set(entry, read);
-    return read;
+    const earlier = known.get(entry);
+    if (earlier !== undefined) {
+      return earlier;
+    }
+    const { values, faults } = reader(entry);
+    const reading = { values, faults: [...nameFaults(entry), ...faults] };
+    known.set(entry, reading);
+    return reading;
   };
 }
 
@@ -108,35 +128,42 @@
   routes: remembered(readRoute),
 };
 
-function readAll<T>(
-  entries: readonly SourceEntry[],
-  reader: (entry: SourceEntry) => Read<T>,
-): Read<T> {
-  const results = entries.map(reader);
+function readAll<T>(entries: readonly SourceEntry[], reader: Reader<T>): Read<T> {
+  const readings = entries.map(reader);
   return {
-    values: results.flatMap(({ values }) => values),
-    faults: results.flatMap(({ faults }) => faults),
+    // Without faults no value is missing.
+    values: readings.flatMap(({ values, faults }) => (faults.length === 0 ? [values as T] : [])),
+    drafts: entries.map(({ name, place }, index) => ({
+      name,
+      place,
+      draft: readings[index]?.values ?? {},
+    })),
+    faults: readings.flatMap(({ faults }) => faults),
   };
 }
 
+interface Single<T> {
+  readonly value: T | null;
+  readonly faults: readonly Fault[];
+}
+
 function readSingle<T>(
   name: string,
   field: Field<T>,
   found: readonly SourceValue[],
   isComplete: boolean,
-): Read<T> {
+): Single<T> {
   const [first, ...others] = found;
   if (first === undefined && !isComplete) {
-    return { values: [], faults: [] };
+    return { value: null, faults: [] };
   }
-  const root = { source: 'set', path: '' };
-  const table = first === undefined ? {} : { [name]: first.value };
   const duplicates = others.map(({ place }) => faultAt('nameDuplicate', place, { found: name }));
-  const place = first?.place ?? placeIn(root, name);
-  return readTable({ [name]: field }, table, { source: place.source, path: '' }).match<Read<T>>(
+  const table = first === undefined ? {} : { [name]: first.value };
+  const root = { source: first?.place.source ?? 'set', path: '' };
+  return readTable({ [name]: field }, table, root).match<Single<T>>(
     // The table has exactly this field.
-    (values) => ({ values: [{ value: values[name] as T, place }], faults: duplicates }),
-    (faults) => ({ values: [], faults: [...faults, ...duplicates] }),
+    (values) => ({ value: values[name] as T, faults: duplicates }),
+    (faults) => ({ value: null, faults: [...faults, ...duplicates] }),
   );
 }
 
@@ -160,7 +187,7 @@
  * Checks every entry of a set by itself.
  *
  * @param set - the joined set
- * @returns the entries that are in order, and all faults of the others
+ * @returns the entries and all their faults
  */
 export function readEntries(set: SourceSet): {
   readonly entries: Entries;
@@ -177,13 +204,13 @@
   const routes = readAll(inSection('routes'), readers.routes);
   return {
     entries: {
-      revision: revision.values[0] ?? null,
-      seats: seats.values[0] ?? null,
-      zones: zones.values,
-      services: services.values,
-      backendServers: backendServers.values,
-      accounts: accounts.values,
-      routes: routes.values,
+      revision: revision.value,
+      seats: seats.value,
+      zones,
+      services,
+      backendServers,
+      accounts,
+      routes,
     },
     faults: [
       ...[revision, seats, zones, services, backendServers, accounts, routes].flatMap(
--- a/src/core/toml/read-table.ts
+++ b/src/core/toml/read-table.ts
@@ -1,4 +1,4 @@
-import { err, ok, Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import type { Fault } from '../errors/fault.js';
 import { fromEither } from '../errors/from-either.js';
 import type { Field } from './field.js';
@@ -84,38 +84,62 @@
   );
 }
 
+/** What could be read of a table, and the faults of the rest. */
+export interface Reading<T> {
+  readonly values: Draft<T>;
+  readonly faults: readonly Fault[];
+}
+
+/** An object of which some fields could not be read. */
+export type Draft<T> = { readonly [K in keyof T]?: T[K] | undefined };
+
 /**
- * Checks a table against its fields and reports every fault in it.
+ * Reads the fields of a table one by one, so that one fault hides no other.
  *
  * @param fields - the fields that the table may have
  * @param table - the parsed value
  * @param place - where the table stands
- * @returns the values with defaults filled in, or all faults
+ * @returns the values that are in order, with defaults filled in, and all faults
  */
-export function readTable<F extends Fields>(
+export function readFields<F extends Fields>(
   fields: F,
   table: unknown,
   place: Place,
-): Result<Values<F>, readonly Fault[]> {
+): Reading<Values<F>> {
   if (!isTable(table)) {
-    return err([
-      faultAt('valueInvalid', place, { found: describeValue(table), expected: 'a table' }),
-    ]);
+    const found = describeValue(table);
+    return { values: {}, faults: [faultAt('valueInvalid', place, { found, expected: 'a table' })] };
   }
   const names = Object.keys(fields);
+  const expected = names.join(', ') || 'no fields';
   const unknown = Object.keys(table)
     .filter((name) => !names.includes(name))
-    .map((name) =>
-      faultAt('fieldUnknown', placeIn(place, name), { expected: names.join(', ') || 'no fields' }),
-    );
-  const read = Object.entries(fields).map(([name, field]) =>
-    readField(field, table[name], placeIn(place, name)).map((value) => [name, value] as const),
+    .map((name) => faultAt('fieldUnknown', placeIn(place, name), { expected }));
+  const read = Object.entries(fields).map(
+    ([name, field]) => [name, readField(field, table[name], placeIn(place, name))] as const,
   );
-  const faults = [...unknown, ...read.flatMap((item) => (item.isErr() ? [item.error] : []))];
-  // Every field has been decoded by its own codec, which the mapped type repeats.
-  return faults.length > 0
-    ? err(faults)
-    : Result.combine(read)
-        .map((entries) => Object.fromEntries(entries) as Values<F>)
-        .mapErr((fault) => [fault]);
+  const values = read.flatMap(([name, result]) => (result.isOk() ? [[name, result.value]] : []));
+  return {
+    // Every field has been decoded by its own codec, which the mapped type repeats.
+    values: Object.fromEntries(values) as Draft<Values<F>>,
+    faults: [...unknown, ...read.flatMap(([, result]) => (result.isErr() ? [result.error] : []))],
+  };
+}
+
+/**
+ * Checks a table against its fields and reports every fault in it.
+ *
+ * @param fields - the fields that the table may have
+ * @param table - the parsed value
+ * @param place - where the table stands
+ * @returns the values with defaults filled in, or all faults
+ */
+export function readTable<F extends Fields>(
+  fields: F,
+  table: unknown,
+  place: Place,
+): Result<Values<F>, readonly Fault[]> {
+  const { values, faults } = readFields(fields, table, place);
+  // Without faults no value is missing.
+  return faults.length > 0 ? err(faults) : ok(values as Values<F>);
 }
--- a/test/cli/run.test.ts
+++ b/test/cli/run.test.ts
@@ -29,7 +29,7 @@
   const checked = await runWith(['check', 'test/fixtures/disagreeing-set']);
   const bundled = await runWith(['bundle', 'test/fixtures/disagreeing-set', '--out', out]);
   assert.deepEqual([checked.code, bundled.code], [3, 3]);
-  assert.equal(checked.errors.at(-1), '23 faults');
+  assert.equal(checked.errors.at(-1), '26 faults');
   assert.deepEqual(bundled.errors, checked.errors);
   await assert.rejects(readdir(out), { code: 'ENOENT' });
   assert.equal((await runWith(['check', join(directory, 'absent')])).code, 3);
--- a/test/core/configuration/load-configuration.test.ts
+++ b/test/core/configuration/load-configuration.test.ts
@@ -11,6 +11,7 @@
   const found = faults.map(({ code, source, place }) => `${code} ${source} ${place}`);
   assert.deepEqual([...found].sort(), [
     'fieldMissing two.toml routes.Upper.idempotent',
+    'fieldMissing two.toml routes.undecided.idempotent',
     'fieldUnknown one.toml accounts.mill.deadline',
     'fieldUnknown one.toml colour',
     'nameDuplicate one.toml accounts.forge.services',
@@ -18,8 +19,10 @@
     'nameDuplicate two.toml revision',
     'nameDuplicate two.toml zones.east',
     'referenceUnknown one.toml accounts.forge.services',
+    'referenceUnknown one.toml accounts.mill.services',
     'referenceUnknown one.toml backend_servers.stock-1.zone',
     'referenceUnknown one.toml seats',
+    'setInconsistent one.toml accounts.forge.key_hashes',
     'setInconsistent one.toml accounts.kiln.key_hashes',
     'setInconsistent one.toml backend_servers.stock-1.cold_capacity',
     'setInconsistent one.toml backend_servers.stock-1.connections',
