Compare the route lookup with a plain search

The lookup decides which route, and with it which importance and which retries, applies to a request, and only a few paths were tested.

A property test with a fixed seed compares it with a search over all routes in sets that pass the check.

--- a/src/core/configuration/read-entries.ts
+++ b/src/core/configuration/read-entries.ts
@@ -1,4 +1,5 @@
 import type { Fault } from '../errors/fault.js';
+import { fromEither } from '../errors/from-either.js';
 import type { Account, BackendServer, Route, Service, Zone } from '../model/configuration.js';
 import { flagField, type Field } from '../toml/field.js';
 import {
@@ -96,10 +97,12 @@
 };
 
 function nameFaults({ name, place }: SourceEntry): readonly Fault[] {
-  return nameField.decode(name).caseOf<readonly Fault[]>({
-    Left: () => [faultAt('valueInvalid', place, { found: name, expected: nameField.expected })],
-    Right: () => [],
-  });
+  return fromEither(nameField.decode(name), (expected) =>
+    faultAt('valueInvalid', place, { found: name, expected }),
+  ).match<readonly Fault[]>(
+    () => [],
+    (fault) => [fault],
+  );
 }
 
 /**
--- a/test/core/configuration/lookup.test.ts
+++ b/test/core/configuration/lookup.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import { readFile } from 'node:fs/promises';
 import { test } from 'node:test';
+import fc from 'fast-check';
+import { fromDocument, toDocument } from '../../../src/core/configuration/document.js';
 import { generateKey, hashKey } from '../../../src/core/configuration/key-hash.js';
 import { Lookup } from '../../../src/core/configuration/lookup.js';
 import type { Route } from '../../../src/core/model/configuration.js';
 import { loadSet } from './sets.js';
 
+const SEED = 20261204;
 const base = await loadSet('test/fixtures/older-set');
 
 function withPaths(...paths: readonly string[]): Lookup {
@@ -29,6 +32,37 @@
   assert.equal(lookup.route('other', 'PUT', '/a/b/c'), null);
 });
 
+test('in every accepted set the most literal of all matching routes is found', () => {
+  // Guards against a search that gives up after a literal segment that leads nowhere.
+  const segment = fc.constantFrom('a', 'b', '*');
+  const path = fc.array(segment, { minLength: 1, maxLength: 4 }).map((s) => `/${s.join('/')}`);
+  const request = path.map((text) => text.replaceAll('*', 'c'));
+  const literals = (route: string) => route.split('/').filter((part) => part !== '*').length;
+  const matches = (route: string, asked: string) =>
+    new RegExp(`^${route.replaceAll('*', '[^/]+')}$`).test(asked);
+  const property = fc.property(
+    fc.uniqueArray(path, { maxLength: 8 }),
+    fc.array(request),
+    (paths, requests) => {
+      const routes = base.routes
+        .slice(0, 1)
+        .flatMap((route) =>
+          paths.map((text, index) => ({ ...route, name: `r${index}`, path: text })),
+        );
+      const configuration = { ...base, routes };
+      fc.pre(fromDocument(toDocument(configuration)).isOk());
+      const lookup = new Lookup(configuration);
+      requests.forEach((asked) => {
+        const [best = null] = paths
+          .filter((text) => matches(text, asked))
+          .sort((left, right) => literals(right) - literals(left));
+        assert.equal(lookup.route('stock', 'PUT', asked)?.path ?? null, best);
+      });
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: 300 });
+});
+
 test('a wildcard matches no dot segment in any encoding', () => {
   // Guards against a request of an open route that the backend server resolves to another path.
   const lookup = withPaths('/points/*');
