--- a/src/core/admission/admit-fractions.ts
+++ b/src/core/admission/admit-fractions.ts
@@ -139,8 +139,8 @@
 
 /**
  * Counts an arrival. Entries thin roots by hash, so the roots with a hash below every fraction
- * that may be in force, divided by that fraction, give the demand before thinning. Measuring the
- * thinned demand instead would make the fraction swing between 0 and 1.
+ * that may be in force, divided by that fraction, give the demand before thinning. With the thinned
+ * demand instead, the fraction settles too high: about 0.25 in a closed loop where 0.12 is right.
  *
  * @param fractions - the fractions
  * @param call - the arrived call
--- a/src/core/admission/gate.ts
+++ b/src/core/admission/gate.ts
@@ -266,9 +266,11 @@
 
 /** Refuses waiting calls that would be answered too late, so that they do not fill the queue. */
 function dropLate(state: Admissions): GateStep {
-  const late = [...state.queue.positions.values()].filter((queued) =>
-    isOutOfReach(state, queued, 0),
-  );
+  const late: QueuedCall[] = [];
+  state.queue.positions.forEach((queued) => {
+    if (isOutOfReach(state, queued, 0)) late.push(queued);
+  });
+  if (late.length === 0) return step(state);
   const queue = late.reduce(removeQueued, state.queue);
   const next = { ...state, queue };
   return step(next, ...late.flatMap((queued) => refuse(next, queued, 'deadlineUnreachable')));
--- a/test/core/admission/closed-loop.test.ts
+++ b/test/core/admission/closed-loop.test.ts
@@ -91,10 +91,17 @@
   });
 });
 
-test('admit fractions do not swing between 0 and 1', () => {
-  // Guards against measuring demand that entries have already thinned.
-  const { fractions } = run({ sources: [source('hog', 2.28), ...FAIR], durationMs: 10_000 });
-  const settled = fractions.slice(20);
-  assert.ok(Math.max(...settled) <= 0.4, `highest ${Math.max(...settled)}`);
-  assert.ok(Math.min(...settled) >= 0.02, `lowest ${Math.min(...settled)}`);
+test('admit fractions follow the true capacity and do not swing between 0 and 1', () => {
+  // Guards against fractions derived from demand that entries have already thinned, which settle
+  // too high, and against an abrupt return of what was shut out.
+  const share = (1 - 4 * 0.18) / 2.28;
+  [1, 2, 3].forEach((seed) => {
+    const sources = [source('hog', 2.28), ...FAIR];
+    const { fractions } = run({ sources, durationMs: 10_000, seed });
+    const settled = fractions.slice(15);
+    const mean = settled.reduce((sum, fraction) => sum + fraction, 0) / settled.length;
+    assert.ok(Math.abs(mean - share) <= 0.3 * share, `seed ${seed}: mean ${mean}, true share ${share}`);
+    assert.ok(Math.max(...settled) <= 0.4, `seed ${seed}: highest ${Math.max(...settled)}`);
+    assert.ok(Math.min(...settled) >= 0.02, `seed ${seed}: lowest ${Math.min(...settled)}`);
+  });
 });
