--- /dev/null
+++ b/test/core/credit/holder.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HolderMessage } from '../../../src/core/credit/credit-message.js';
+import { decideHolder, initialHolder } from '../../../src/core/credit/holder.js';
+import { account } from './fleet.js';
+
+const zones = ['a', 'b', 'c'].map((name) => ({
+  name,
+  region: 'r',
+  state: name === 'c' ? ('out' as const) : ('in' as const),
+}));
+const configuration = {
+  revision: 1,
+  seats: ['s'],
+  zones,
+  services: [],
+  backendServers: [],
+  accounts: [account('x', 1, 100)],
+  routes: [],
+};
+const draw: HolderMessage = {
+  kind: 'draw',
+  peer: 'e',
+  draw: { kind: 'draw', drawId: 1, account: 'x', want: 1 },
+};
+const heard: HolderMessage = { kind: 'zone-heard', zone: 'b' };
+
+/** Feeds messages to a holder, with a sign of life from zone b every second unless silenced. */
+function granted(
+  messages: readonly (readonly [at: number, message: HolderMessage])[],
+  isHeard: (at: number) => boolean = () => true,
+) {
+  const beats = Array.from({ length: 40 }, (_, second) => second * 1000).flatMap((at) => [
+    [at, { kind: 'tick' }] as const,
+    ...(isHeard(at) ? [[at, heard] as const] : []),
+  ]);
+  let state = initialHolder({ seat: 's', zone: 'a', incarnation: '5', now: 0 });
+  return [[0, { kind: 'configured', configuration }] as const, ...beats, ...messages]
+    .sort(([left], [right]) => left - right)
+    .flatMap(([at, message]) => {
+      const { state: next, effects } = decideHolder(state, message, at);
+      state = next;
+      return effects.flatMap((effect) => (effect.kind === 'grant' ? [effect.grant.tokens] : []));
+    });
+}
+
+test('a holder waits, then fills from empty', () => {
+  // Guards against a predecessor's grants counted twice; one token takes one second.
+  assert.deepEqual(
+    granted([
+      [5900, draw],
+      [6500, draw],
+      [7500, draw],
+    ]),
+    [0, 0, 1],
+  );
+});
+
+test('a holder that never heard a zone in service does not grant', () => {
+  // Guards against a start inside a partition that hides the predecessor.
+  assert.deepEqual(
+    granted([[20_500, draw]], () => false),
+    [0],
+  );
+});
+
+test('an isolated holder stops, and waits after contact returns', () => {
+  // Guards against a cut-off holder beside its successor.
+  const isHeard = (at: number) => at <= 10_000 || at >= 20_000;
+  const draws = [9500, 16_500, 22_500, 28_500].map((at) => [at, draw] as const);
+  assert.deepEqual(granted(draws, isHeard), [1, 0, 0, 1]);
+});
+
+test('a holder that wakes late or was superseded does not grant', () => {
+  // Guards against a paused process that goes on with old credit.
+  const late: HolderMessage = { kind: 'woke-late', lateMs: 1001 };
+  assert.deepEqual(
+    granted([
+      [10_100, late],
+      [10_500, draw],
+      [18_500, draw],
+    ]),
+    [0, 1],
+  );
+  const newer: HolderMessage = { kind: 'incarnation-heard', incarnation: '6' };
+  assert.deepEqual(
+    granted([
+      [10_100, newer],
+      [10_500, draw],
+      [30_500, draw],
+    ]),
+    [0, 0],
+  );
+});
+
+test('a lowered burst holds at once, a raised one after the wait', () => {
+  // Guards against a part of an account that two seats hold while a configuration spreads.
+  const change = (revision: number, burst: number): HolderMessage => ({
+    kind: 'configured',
+    configuration: { ...configuration, revision, accounts: [account('x', 1, burst)] },
+  });
+  const all: HolderMessage = { ...draw, draw: { ...draw.draw, want: 100 } };
+  const messages = [
+    [20_000, change(2, 4)],
+    [20_100, all],
+    [20_200, change(3, 50)],
+    [29_000, all],
+    [38_500, all],
+  ] as const;
+  assert.deepEqual(granted(messages), [4, 4, 9]);
+});
