--- /dev/null
+++ b/standin/published-values.ts
@@ -0,0 +1,191 @@
+import { createHash } from 'node:crypto';
+import { Map } from 'immutable';
+import { step } from '../src/core/task/decision.js';
+import type { Step } from '../src/core/task/decision.js';
+import type { Instant, Milliseconds } from '../src/core/model/time.js';
+
+/** Reads per second over all readers; a pending watch counts as one. */
+export const READ_LIMIT_PER_S = 2000;
+/** Largest value that the service holds. */
+export const VALUE_LIMIT_BYTES = 1_000_000;
+
+/** A published value. */
+export interface Value {
+  readonly text: string;
+  readonly etag: string;
+}
+
+/** Control requests at `POST /control` of the control listener. */
+export type ServiceControl =
+  | { readonly kind: 'publish'; readonly name: string; readonly text: string }
+  | { readonly kind: 'down'; readonly enabled: boolean }
+  /** Serves the version before the current one until switched off. */
+  | { readonly kind: 'stale'; readonly enabled: boolean }
+  /** Publications of host lists take effect after this time. */
+  | { readonly kind: 'lag-hosts'; readonly lagMs: Milliseconds };
+
+/** Events of the service. */
+export type ServiceMessage =
+  | { readonly kind: 'read'; readonly id: number; readonly name: string }
+  | {
+      readonly kind: 'watch';
+      readonly id: number;
+      readonly name: string;
+      readonly after: string;
+      readonly waitMs: Milliseconds;
+    }
+  /** The watch has waited long enough, or its reader has gone. */
+  | { readonly kind: 'watch-end'; readonly id: number }
+  | { readonly kind: 'lag-end'; readonly name: string; readonly text: string }
+  | { readonly kind: 'control'; readonly control: ServiceControl };
+
+/** An answer to a reader. */
+export type ServiceAnswer =
+  | { readonly kind: 'value'; readonly value: Value }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unchanged' }
+  | { readonly kind: 'too-many-reads' }
+  /** The connection is closed without an answer. */
+  | { readonly kind: 'down' };
+
+/** What the service has to do. */
+export type ServiceEffect =
+  | { readonly kind: 'answer'; readonly id: number; readonly answer: ServiceAnswer }
+  | { readonly kind: 'later'; readonly afterMs: Milliseconds; readonly message: ServiceMessage };
+
+/** The state of the service. */
+export interface Published {
+  readonly values: Map<string, Value>;
+  readonly previous: Map<string, Value>;
+  readonly watches: Map<number, { readonly name: string; readonly after: string }>;
+  readonly isDown: boolean;
+  readonly isStale: boolean;
+  readonly hostLagMs: Milliseconds;
+  /** Counters of reads, shown at `GET /counters`. */
+  readonly reads: number;
+  readonly refusedReads: number;
+  readonly windowStart: Instant;
+  readonly windowReads: number;
+}
+
+type Outcome = Step<Published, ServiceEffect>;
+
+/** A service that holds nothing yet. */
+export const nothingPublished: Published = {
+  values: Map(),
+  previous: Map(),
+  watches: Map(),
+  isDown: false,
+  isStale: false,
+  hostLagMs: 0,
+  reads: 0,
+  refusedReads: 0,
+  windowStart: 0,
+  windowReads: 0,
+};
+
+function visible(state: Published, name: string): Value | undefined {
+  const current = state.values.get(name);
+  return state.isStale ? (state.previous.get(name) ?? current) : current;
+}
+
+function countRead(state: Published, now: Instant): Published {
+  const isNewWindow = now - state.windowStart >= 1000;
+  const windowReads = isNewWindow ? 1 : state.windowReads + 1;
+  const windowStart = isNewWindow ? now : state.windowStart;
+  const isRefused = windowReads > READ_LIMIT_PER_S;
+  const refusedReads = state.refusedReads + (isRefused ? 1 : 0);
+  return { ...state, windowReads, windowStart, refusedReads, reads: state.reads + 1 };
+}
+
+function reply(id: number, answer: ServiceAnswer): ServiceEffect {
+  return { kind: 'answer', id, answer };
+}
+
+/** Answers the watches whose value differs from what their reader has. */
+function wake(state: Published): Outcome {
+  const effects: ServiceEffect[] = [];
+  const watches = state.watches.filterNot(({ name, after }, id) => {
+    const value = visible(state, name);
+    if (value === undefined || value.etag === after) return false;
+    effects.push(reply(id, { kind: 'value', value }));
+    return true;
+  });
+  return step({ ...state, watches }, ...effects);
+}
+
+function publish(state: Published, name: string, text: string): Outcome {
+  const etag = createHash('sha256').update(text).digest('hex').slice(0, 32);
+  const old = state.values.get(name);
+  const previous = old === undefined ? state.previous : state.previous.set(name, old);
+  return wake({ ...state, previous, values: state.values.set(name, { text, etag }) });
+}
+
+function control(state: Published, request: ServiceControl): Outcome {
+  switch (request.kind) {
+    case 'publish': {
+      const { name, text } = request;
+      if (state.hostLagMs === 0 || !name.startsWith('hosts/')) return publish(state, name, text);
+      const message = { kind: 'lag-end', name, text } as const;
+      return step(state, { kind: 'later', afterMs: state.hostLagMs, message });
+    }
+    case 'down': {
+      if (!request.enabled) return step({ ...state, isDown: false });
+      const ended = [...state.watches.keys()].map((id) => reply(id, { kind: 'down' }));
+      return step({ ...state, isDown: true, watches: Map() }, ...ended);
+    }
+    case 'stale':
+      return wake({ ...state, isStale: request.enabled });
+    case 'lag-hosts':
+      return step({ ...state, hostLagMs: request.lagMs });
+  }
+}
+
+function watch(state: Published, message: ServiceMessage & { readonly kind: 'watch' }): Outcome {
+  const { id, name, after, waitMs } = message;
+  const value = visible(state, name);
+  if (value !== undefined && value.etag !== after)
+    return step(state, reply(id, { kind: 'value', value }));
+  const watches = state.watches.set(id, { name, after });
+  const end = { kind: 'watch-end', id } as const;
+  return step({ ...state, watches }, { kind: 'later', afterMs: waitMs, message: end });
+}
+
+/** Refusals that hold for reads and watches alike; null when the read may go on. */
+function refusal(state: Published): ServiceAnswer | null {
+  if (state.isDown) return { kind: 'down' };
+  return state.windowReads > READ_LIMIT_PER_S ? { kind: 'too-many-reads' } : null;
+}
+
+/**
+ * Decides what readers get.
+ *
+ * @param state - the published values and the pending watches
+ * @param message - what happened
+ * @param now - the current instant
+ * @returns the next state and the answers
+ */
+export function decideService(state: Published, message: ServiceMessage, now: Instant): Outcome {
+  switch (message.kind) {
+    case 'read':
+    case 'watch': {
+      const counted = countRead(state, now);
+      const refused = refusal(counted);
+      if (refused !== null) return step(counted, reply(message.id, refused));
+      if (message.kind === 'watch') return watch(counted, message);
+      const value = visible(counted, message.name);
+      const found: ServiceAnswer =
+        value === undefined ? { kind: 'absent' } : { kind: 'value', value };
+      return step(counted, reply(message.id, found));
+    }
+    case 'watch-end': {
+      if (!state.watches.has(message.id)) return step(state);
+      const watches = state.watches.remove(message.id);
+      return step({ ...state, watches }, reply(message.id, { kind: 'unchanged' }));
+    }
+    case 'lag-end':
+      return publish(state, message.name, message.text);
+    case 'control':
+      return control(state, message.control);
+  }
+}
--- /dev/null
+++ b/test/standin/published-values.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  READ_LIMIT_PER_S,
+  decideService,
+  nothingPublished,
+} from '../../standin/published-values.js';
+import type { ServiceControl, ServiceMessage } from '../../standin/published-values.js';
+
+function replay(messages: readonly ServiceMessage[], now = 0) {
+  return messages.reduce(({ state }, message) => decideService(state, message, now), {
+    state: nothingPublished,
+    effects: [],
+  } as ReturnType<typeof decideService>);
+}
+
+function control(request: ServiceControl): ServiceMessage {
+  return { kind: 'control', control: request };
+}
+
+function publish(text: string, name = 'configuration/manifest'): ServiceMessage {
+  return control({ kind: 'publish', name, text });
+}
+
+const read = { kind: 'read', id: 1, name: 'configuration/manifest' } as const;
+const watch = { ...read, kind: 'watch', after: '', waitMs: 500 } as const;
+
+function textOf({ effects }: ReturnType<typeof replay>): string | undefined {
+  const [first] = effects;
+  return first?.kind === 'answer' && first.answer.kind === 'value'
+    ? first.answer.value.text
+    : undefined;
+}
+
+test('a pending watch is answered by the next publication and by its end otherwise', () => {
+  // Guards against watchers that miss a change or wait for ever.
+  assert.equal(textOf(replay([watch, publish('a')])), 'a');
+  const ended = replay([watch, { kind: 'watch-end', id: 1 }]);
+  assert.deepEqual(ended.effects, [{ kind: 'answer', id: 1, answer: { kind: 'unchanged' } }]);
+});
+
+test('a stale service serves the version before the current one', () => {
+  // Guards against a stale scenario that changes nothing for readers.
+  const stale = control({ kind: 'stale', enabled: true });
+  assert.equal(textOf(replay([publish('a'), publish('b'), stale, read])), 'a');
+});
+
+test('reads beyond the limit of one second are refused', () => {
+  // Guards against designs that only work because the stand-in has no read limit.
+  const reads = Array.from({ length: READ_LIMIT_PER_S + 1 }, () => read);
+  const { state, effects } = replay(reads);
+  assert.deepEqual(effects, [{ kind: 'answer', id: 1, answer: { kind: 'too-many-reads' } }]);
+  assert.equal(decideService(state, read, 1000).state.refusedReads, 1);
+});
+
+test('a lagging host list takes effect later, the configuration at once', () => {
+  // Guards against a lag that also delays the configuration.
+  const lag = control({ kind: 'lag-hosts', lagMs: 300 });
+  assert.equal(replay([lag, publish('a', 'hosts/z1')]).effects[0]?.kind, 'later');
+  assert.equal(textOf(replay([lag, publish('a'), read])), 'a');
+});
+
+test('going down ends pending watches without an answer', () => {
+  // Guards against watches that survive an outage of the service.
+  const down = control({ kind: 'down', enabled: true });
+  assert.deepEqual(replay([watch, down]).effects, [
+    { kind: 'answer', id: 1, answer: { kind: 'down' } },
+  ]);
+});
