--- /dev/null
+++ b/bench/load.ts
@@ -0,0 +1,246 @@
+import { Agent, request } from 'undici';
+import type { Random } from '../standin/process.js';
+import { DEADLINE_MS } from './topology.js';
+import type { BenchAccount, BenchPath, Topology } from './topology.js';
+
+/** Whether order requests carry identifiers. */
+export type Variant = 'almondhoist' | 'pass-through';
+
+/** What became of one attempt. */
+export type Attempt =
+  | { readonly kind: 'good' }
+  /** Refused without having run, as far as the answer tells. */
+  | { readonly kind: 'refused'; readonly status: number }
+  | { readonly kind: 'failed' }
+  /** The request needs this order identifier. */
+  | { readonly kind: 'order-id'; readonly orderId: string };
+
+/** A whole request with all its attempts. */
+export interface RequestRecord {
+  readonly account: string;
+  readonly arrivedMs: number;
+  readonly endedMs: number;
+  /** Answered with 200, through its whole chain and before its deadline. */
+  readonly isGood: boolean;
+  /** Attempts inside the account's rate and burst, and how many of these were refused. */
+  readonly insideAttempts: number;
+  readonly wrongfulRefusals: number;
+}
+
+/** What the load generator calls. */
+export interface LoadTarget {
+  readonly variant: Variant;
+  readonly topology: Topology;
+  /** Base URLs of the entries; callers choose one at random for each attempt. */
+  readonly entries: readonly string[];
+}
+
+interface RootRequest {
+  readonly account: BenchAccount;
+  readonly service: string;
+  readonly served: BenchPath;
+  readonly number: number;
+  readonly body: string | null;
+  readonly scheduledMs: number;
+}
+
+interface Bucket {
+  readonly tokens: number;
+  readonly atMs: number;
+}
+
+/** Repeats of a failed or refused request, sent at once and whatever retry-after says. */
+const REPEATS = 3;
+/** Number of different blocks, balances and points that callers look up. */
+const LOOKUPS = 100_000;
+
+/** An open-loop generator: arrivals do not wait for answers. */
+export class Load {
+  readonly records: RequestRecord[] = [];
+
+  readonly #target: LoadTarget;
+
+  readonly #random: Random;
+
+  readonly #agent = new Agent();
+
+  readonly #rates = new Map<string, number>();
+
+  readonly #timers = new Map<string, NodeJS.Timeout>();
+
+  readonly #buckets = new Map<string, Bucket>();
+
+  readonly #outstanding = new Set<Promise<void>>();
+
+  #nextNumber: number;
+
+  /**
+   * @param target - variant, deployment and entries
+   * @param random - seeded source for arrivals, mix and entries
+   * @param firstNumber - first order number; numbers must be unique in a deployment
+   */
+  constructor(target: LoadTarget, random: Random, firstNumber: number) {
+    this.#target = target;
+    this.#random = random;
+    this.#nextNumber = firstNumber;
+  }
+
+  /** @returns the order number that the next generator may start with */
+  get nextNumber(): number {
+    return this.#nextNumber;
+  }
+
+  /**
+   * Sets the arrivals of one account; the time to the next one is drawn afresh.
+   *
+   * @param account - the account
+   * @param perSecond - mean root requests per second, without repeats
+   */
+  setRate(account: BenchAccount, perSecond: number): void {
+    clearTimeout(this.#timers.get(account.name));
+    this.#rates.set(account.name, perSecond);
+    if (perSecond > 0) this.#schedule(account, performance.now());
+  }
+
+  /** Stops the arrivals and waits a bounded time for what is outstanding. */
+  async stop(): Promise<void> {
+    this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#rates.clear();
+    // Every attempt ends at its timeout, so this wait is bounded.
+    await Promise.all(this.#outstanding);
+    await this.#agent.destroy();
+  }
+
+  /**
+   * Sends one request whose body crashes the backend server that runs it.
+   *
+   * @param account - the account that sends it
+   */
+  sendCrash(account: BenchAccount): void {
+    const { services } = this.#target.topology;
+    const pairs = services.flatMap(({ name, paths }) =>
+      paths.map((served) => ({ service: name, served })),
+    );
+    const found = pairs.find(({ served }) => served.method === 'POST' && served.idempotent);
+    if (found === undefined) return;
+    const body = JSON.stringify({ crash: true });
+    this.#launch({ account, ...found, number: -1, body, scheduledMs: performance.now() });
+  }
+
+  #schedule(account: BenchAccount, afterMs: number): void {
+    const rate = this.#rates.get(account.name) ?? 0;
+    if (rate === 0) return;
+    const dueMs = afterMs - (Math.log(1 - this.#random()) * 1000) / rate;
+    const fire = (): void => {
+      this.#launch(this.#draw(account, dueMs));
+      this.#schedule(account, dueMs);
+    };
+    this.#timers.set(account.name, setTimeout(fire, dueMs - performance.now()));
+  }
+
+  #draw(account: BenchAccount, scheduledMs: number): RootRequest {
+    let share = this.#random();
+    const number = this.#nextNumber;
+    this.#nextNumber += 1;
+    const candidates = this.#target.topology.services.flatMap(({ name, paths }) =>
+      paths.filter(({ rootShare }) => rootShare > 0).map((served) => ({ service: name, served })),
+    );
+    const chosen =
+      candidates.find(({ served }) => {
+        share -= served.rootShare;
+        return share < 0;
+      }) ?? candidates[0];
+    if (chosen === undefined) throw new Error('the deployment has no root requests');
+    const body = chosen.served.method === 'GET' ? null : JSON.stringify({ order: number });
+    return { account, ...chosen, number, body, scheduledMs };
+  }
+
+  #launch(root: RootRequest): void {
+    const done = this.#runWhole(root).finally(() => this.#outstanding.delete(done));
+    this.#outstanding.add(done);
+  }
+
+  /** Takes a token when there is one; an attempt without one is outside rate and burst. */
+  #isInside({ name, ratePerSecond, burst }: BenchAccount): boolean {
+    const nowMs = performance.now();
+    const { tokens, atMs } = this.#buckets.get(name) ?? { tokens: burst, atMs: nowMs };
+    const filled = Math.min(burst, tokens + ((nowMs - atMs) * ratePerSecond) / 1000);
+    const isInside = filled >= 1;
+    this.#buckets.set(name, { tokens: isInside ? filled - 1 : filled, atMs: nowMs });
+    return isInside;
+  }
+
+  async #runWhole(root: RootRequest): Promise<void> {
+    const needsId = this.#target.variant === 'almondhoist' && !root.served.idempotent;
+    let orderId = needsId ? await this.#issueOrderId(root) : null;
+    let isGood = false;
+    let insideAttempts = 0;
+    let wrongfulRefusals = 0;
+    for (let attempt = 0; attempt <= REPEATS && !isGood; attempt += 1) {
+      const isInside = this.#isInside(root.account);
+      let result = await this.#attempt(root, orderId);
+      if (result.kind === 'order-id') {
+        orderId = result.orderId;
+        result = await this.#attempt(root, orderId);
+      }
+      isGood = result.kind === 'good';
+      if (isInside) insideAttempts += 1;
+      if (isInside && result.kind === 'refused') wrongfulRefusals += 1;
+    }
+    const { account, scheduledMs: arrivedMs } = root;
+    const endedMs = performance.now();
+    isGood &&= endedMs - arrivedMs <= DEADLINE_MS;
+    const counts = { insideAttempts, wrongfulRefusals };
+    this.records.push({ account: account.name, arrivedMs, endedMs, isGood, ...counts });
+  }
+
+  #entry(): string {
+    const { entries } = this.#target;
+    return entries[Math.floor(this.#random() * entries.length)] ?? '';
+  }
+
+  async #issueOrderId({ account }: RootRequest): Promise<string | null> {
+    try {
+      const answer = await request(`${this.#entry()}/almondhoist/orders`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${account.key}` },
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(DEADLINE_MS),
+      });
+      await answer.body.dump();
+      const id = answer.headers['almondhoist-order-id'];
+      return typeof id === 'string' ? id : null;
+    } catch {
+      return null;
+    }
+  }
+
+  async #attempt(root: RootRequest, orderId: string | null): Promise<Attempt> {
+    const { service, served, account, body, number } = root;
+    const target = served.path.replace('*', String(number % LOOKUPS));
+    try {
+      const answer = await request(`${this.#entry()}/${service}/${target}`, {
+        method: served.method,
+        headers: {
+          authorization: `Bearer ${account.key}`,
+          ...(body === null ? {} : { 'content-type': 'application/json' }),
+          ...(orderId === null ? {} : { 'almondhoist-order-id': orderId }),
+        },
+        body,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(DEADLINE_MS),
+      });
+      await answer.body.dump();
+      const { statusCode: status, headers } = answer;
+      const freshId = headers['almondhoist-order-id'];
+      if (status === 200) return { kind: 'good' };
+      if (status === 428 && typeof freshId === 'string')
+        return { kind: 'order-id', orderId: freshId };
+      const isRefused =
+        headers['almondhoist-not-run'] === 'true' || status === 429 || status === 503;
+      return isRefused ? { kind: 'refused', status } : { kind: 'failed' };
+    } catch {
+      return { kind: 'failed' };
+    }
+  }
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,94 @@
+import { parseArgs } from 'node:util';
+import { Deployment } from './deployment.js';
+import type { Variant } from './load.js';
+import { brokenCount, report } from './report.js';
+import { runScenario, warmUp } from './run.js';
+import type { ScenarioResult } from './run.js';
+import { scenariosFor } from './scenarios.js';
+import { CO_OP, KELPIE, capacityPerS } from './topology.js';
+import type { Topology } from './topology.js';
+
+/** Longer than a node's wait before it grants credit, with its warm-up. */
+const WARM_UP_LIMIT_MS = 12_000;
+/** Low enough for cold limits to follow. */
+const WARM_UP_SHARE = 0.5;
+const EXIT_FAILED = 1;
+const EXIT_PROMISE_BROKEN = 5;
+
+const { values: options } = parseArgs({
+  options: {
+    quick: { type: 'boolean', default: false },
+    seed: { type: 'string', default: '1' },
+    /** Limits the run to one variant, for work on the benchmark itself. */
+    variant: { type: 'string' },
+  },
+});
+const seed = Number(options.seed);
+const startedMs = performance.now();
+
+function progress(text: string): void {
+  console.log(`${((performance.now() - startedMs) / 1000).toFixed(1).padStart(6)} s  ${text}`);
+}
+
+/** Deployments that run, so that a signal stops their processes too. */
+const running = new Set<Deployment>();
+
+async function stopAll(): Promise<void> {
+  await Promise.all([...running].map((deployment) => deployment.stop()));
+  running.clear();
+}
+
+async function abort(): Promise<void> {
+  await stopAll();
+  process.exit(EXIT_FAILED);
+}
+
+async function runTopology(topology: Topology): Promise<readonly ScenarioResult[]> {
+  const variants: readonly Variant[] = ['almondhoist', 'pass-through'];
+  const deployments = variants
+    .filter((variant) => options.variant === undefined || variant === options.variant)
+    .map((variant) => new Deployment(topology, variant, seed));
+  deployments.forEach((deployment) => running.add(deployment));
+  const results: ScenarioResult[] = [];
+  const nextNumbers = new Map<Deployment, number>();
+  try {
+    progress(`${topology.name}: starting`);
+    await Promise.all(deployments.map((deployment) => deployment.start()));
+    for (const deployment of deployments) {
+      progress(`${topology.name}: warming up ${deployment.variant}`);
+      const perSecond = capacityPerS(topology) * WARM_UP_SHARE;
+      nextNumbers.set(deployment, await warmUp(deployment, perSecond, WARM_UP_LIMIT_MS));
+    }
+    for (const scenario of scenariosFor(topology, options.quick)) {
+      for (const deployment of deployments) {
+        progress(`${topology.name}: ${scenario.name} with ${deployment.variant}`);
+        const first = nextNumbers.get(deployment) ?? 0;
+        const { result, nextNumber } = await runScenario(deployment, scenario, first, seed);
+        nextNumbers.set(deployment, nextNumber);
+        results.push(result);
+      }
+    }
+  } finally {
+    progress(`${topology.name}: stopping`);
+    await stopAll();
+  }
+  return results;
+}
+
+process.once('SIGINT', abort);
+process.once('SIGTERM', abort);
+const results: ScenarioResult[] = [];
+try {
+  for (const topology of options.quick ? [KELPIE] : [KELPIE, CO_OP]) {
+    results.push(...(await runTopology(topology)));
+  }
+  await report(results, seed);
+  const isBroken = results.some(
+    (result) => result.variant === 'almondhoist' && brokenCount(result) > 0,
+  );
+  process.exitCode = isBroken ? EXIT_PROMISE_BROKEN : 0;
+} catch (error) {
+  console.error(`the benchmark failed: ${String(error)}`);
+  process.exitCode = EXIT_FAILED;
+}
+progress('done');
--- /dev/null
+++ b/bench/run.ts
@@ -0,0 +1,234 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { request } from 'undici';
+import { randomFrom } from '../standin/process.js';
+import type { Broken, Deployment } from './deployment.js';
+import { Load } from './load.js';
+import type { RequestRecord } from './load.js';
+import type { BenchEvent, Scenario } from './scenarios.js';
+import { DEADLINE_MS, capacityPerS } from './topology.js';
+
+/** Measured figures of one scenario in one variant. */
+export interface ScenarioResult {
+  readonly name: string;
+  readonly deployment: string;
+  readonly variant: string;
+  readonly offered_per_s: number;
+  readonly goodput_per_s: number;
+  readonly capacity_per_s: number;
+  /** Null when the scenario has no recovery, or when it was not reached (see `recovered`). */
+  readonly recovery_s: number | null;
+  readonly recovered: boolean | null;
+  readonly worst_account_served_fraction: number;
+  readonly wrongful_refusal_fraction: number;
+  readonly added_latency_ms: { readonly p50: number; readonly p99: number } | null;
+  readonly broken_promises: Broken;
+}
+
+/** Fraction of the goodput before that counts as recovered. */
+const RECOVERED_FRACTION = 0.95;
+const RECOVERY_WINDOW_MS = 1000;
+const RECOVERY_STEP_MS = 100;
+const LATENCY_PAIRS = 200;
+const LATENCY_GAP_MS = 2;
+const MICROSECONDS = 1000;
+
+function goodBetween(records: readonly RequestRecord[], fromMs: number, toMs: number): number {
+  const good = records.filter(
+    ({ isGood, endedMs }) => isGood && endedMs >= fromMs && endedMs < toMs,
+  );
+  return (good.length * 1000) / (toMs - fromMs);
+}
+
+function setRates(load: Load, { topology }: Deployment, perSecond: number): void {
+  const total = topology.accounts.reduce((sum, { ratePerSecond }) => sum + ratePerSecond, 0);
+  topology.accounts.forEach((account) => {
+    load.setRate(account, (perSecond * account.ratePerSecond) / total);
+  });
+}
+
+async function perform(event: BenchEvent, deployment: Deployment, load: Load): Promise<void> {
+  const { accounts } = deployment.topology;
+  switch (event.kind) {
+    case 'disturb':
+      return deployment.apply(event.disturbance);
+    case 'offer':
+      return setRates(load, deployment, event.perSecond);
+    case 'greedy':
+      return accounts
+        .filter(({ name }) => name === event.account)
+        .forEach((account) => load.setRate(account, account.ratePerSecond * event.timesRate));
+    case 'crash-call':
+      return accounts.slice(0, 1).forEach((account) => load.sendCrash(account));
+  }
+}
+
+/** @returns seconds from the end of the disturbance, or null when the limit has passed */
+async function waitForRecovery(
+  load: Load,
+  startMs: number,
+  recovery: NonNullable<Scenario['recovery']>,
+): Promise<number | null> {
+  const [beforeFrom, beforeTo] = recovery.before;
+  // Answers of the first instants are missing, since requests take a while.
+  const before = goodBetween(load.records, startMs + beforeFrom + 500, startMs + beforeTo);
+  for (let afterMs = 0; afterMs <= recovery.limitMs; afterMs += RECOVERY_STEP_MS) {
+    const fromMs = startMs + recovery.endMs + afterMs;
+    await sleep(fromMs + RECOVERY_WINDOW_MS - performance.now());
+    const now = goodBetween(load.records, fromMs, fromMs + RECOVERY_WINDOW_MS);
+    if (now >= before * RECOVERED_FRACTION) return afterMs / 1000;
+  }
+  return null;
+}
+
+function worstServed(records: readonly RequestRecord[], names: readonly string[]): number {
+  const fractions = names.map((name) => {
+    const own = records.filter(({ account }) => account === name);
+    return own.length === 0 ? 1 : own.filter(({ isGood }) => isGood).length / own.length;
+  });
+  return Math.min(...fractions);
+}
+
+async function timeInto(histogram: Histogram, url: string, key?: string): Promise<void> {
+  const startMs = performance.now();
+  const answer = await request(url, {
+    headers: key === undefined ? {} : { authorization: `Bearer ${key}` },
+    signal: AbortSignal.timeout(DEADLINE_MS),
+  });
+  await answer.body.dump();
+  if (answer.statusCode !== 200) return;
+  histogram.recordValue((performance.now() - startMs) * MICROSECONDS);
+}
+
+/** Compares calls through entry and gate with direct calls, alternating, one at a time. */
+async function measureAddedLatency({ topology, servers, entries }: Deployment) {
+  const direct = build();
+  const through = build();
+  const [service] = topology.services.filter(({ paths }) =>
+    paths.some(({ path }) => path === 'ping'),
+  );
+  const [server] = servers.filter((candidate) => candidate.service === service);
+  const [account] = topology.accounts;
+  for (let pair = 0; pair < LATENCY_PAIRS; pair += 1) {
+    // An entry of another service, so that the call always takes the peer hop to the gate.
+    const entry = entries[entries.length - 1];
+    await timeInto(direct, `${server?.url}/ping`);
+    await timeInto(through, `${entry}/${service?.name}/ping`, account?.key);
+    await sleep(LATENCY_GAP_MS);
+  }
+  if (through.totalCount < LATENCY_PAIRS / 2) return null;
+  const added = (percentile: number): number =>
+    (through.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile)) /
+    MICROSECONDS;
+  return { p50: added(50), p99: added(99) };
+}
+
+function difference(after: Broken, before: Broken): Broken {
+  return Object.fromEntries(
+    Object.entries(after).map(([cause, count]) => [
+      cause,
+      Math.max(0, count - (before[cause] ?? 0)),
+    ]),
+  );
+}
+
+/** Answers to excluded accounts that started after their key had to be out of force. */
+function lateAnswers(load: Load, startMs: number, scenario: Scenario): number {
+  const { withdrawnAfterMs, excluded, window } = scenario;
+  if (withdrawnAfterMs === null) return 0;
+  return load.records.filter(
+    ({ account, arrivedMs, endedMs, isGood }) =>
+      isGood &&
+      excluded.includes(account) &&
+      arrivedMs >= startMs + withdrawnAfterMs &&
+      endedMs < startMs + window[1],
+  ).length;
+}
+
+/**
+ * Runs one scenario.
+ *
+ * @param deployment - the running deployment
+ * @param scenario - the script
+ * @param firstNumber - first order number
+ * @param seed - seed of arrivals and mix
+ * @returns the figures and the next order number
+ */
+export async function runScenario(
+  deployment: Deployment,
+  scenario: Scenario,
+  firstNumber: number,
+  seed: number,
+): Promise<{ readonly result: ScenarioResult; readonly nextNumber: number }> {
+  const load = new Load(deployment, randomFrom(seed), firstNumber);
+  const before = await deployment.broken(firstNumber);
+  const startMs = performance.now();
+  let recoveryS: number | null = null;
+  try {
+    for (const [atMs, event] of scenario.timeline) {
+      await sleep(startMs + atMs - performance.now());
+      await perform(event, deployment, load);
+    }
+    await sleep(startMs + scenario.window[1] - performance.now());
+    if (scenario.recovery !== null) {
+      recoveryS = await waitForRecovery(load, startMs, scenario.recovery);
+    }
+  } finally {
+    await load.stop();
+  }
+  const [fromMs, toMs] = scenario.window.map((atMs) => startMs + atMs) as [number, number];
+  const inWindow = load.records.filter(({ arrivedMs }) => arrivedMs >= fromMs && arrivedMs < toMs);
+  const inside = inWindow.reduce((sum, { insideAttempts }) => sum + insideAttempts, 0);
+  const wrongful = inWindow.reduce((sum, { wrongfulRefusals }) => sum + wrongfulRefusals, 0);
+  const wellBehaved = deployment.topology.accounts
+    .map(({ name }) => name)
+    .filter((name) => !scenario.excluded.includes(name));
+  const result: ScenarioResult = {
+    name: scenario.name,
+    deployment: deployment.topology.name,
+    variant: deployment.variant,
+    offered_per_s: (inWindow.length * 1000) / (toMs - fromMs),
+    goodput_per_s: goodBetween(load.records, fromMs, toMs),
+    capacity_per_s: capacityPerS(deployment.topology),
+    recovery_s: recoveryS,
+    recovered: scenario.recovery === null ? null : recoveryS !== null,
+    worst_account_served_fraction: worstServed(inWindow, wellBehaved),
+    wrongful_refusal_fraction: inside === 0 ? 0 : wrongful / inside,
+    added_latency_ms: scenario.isLatencyMeasured ? await measureAddedLatency(deployment) : null,
+    broken_promises: {
+      ...difference(await deployment.broken(firstNumber), before),
+      withdrawn_key_answered: lateAnswers(load, startMs, scenario),
+    },
+  };
+  return { result, nextNumber: load.nextNumber };
+}
+
+/**
+ * Offers calm load until nearly everything is answered, since limits of nodes start cold and
+ * their credit empty.
+ *
+ * @param deployment - the running deployment
+ * @param perSecond - root requests per second
+ * @param limitMs - bound of the wait
+ * @returns the next order number
+ */
+export async function warmUp(
+  deployment: Deployment,
+  perSecond: number,
+  limitMs: number,
+): Promise<number> {
+  const load = new Load(deployment, randomFrom(1), 0);
+  const endMs = performance.now() + limitMs;
+  setRates(load, deployment, perSecond);
+  let isWarm = false;
+  while (!isWarm && performance.now() < endMs) {
+    await sleep(RECOVERY_WINDOW_MS / 2);
+    const nowMs = performance.now();
+    const recent = goodBetween(load.records, nowMs - RECOVERY_WINDOW_MS, nowMs);
+    isWarm = recent >= perSecond * RECOVERED_FRACTION;
+  }
+  await load.stop();
+  if (!isWarm) console.log(`  ${deployment.variant}: not warm after ${limitMs / 1000} s`);
+  return load.nextNumber;
+}
--- /dev/null
+++ b/bench/topology.ts
@@ -0,0 +1,283 @@
+import type { Configuration, Importance } from '../src/core/model/configuration.js';
+import type { ServedPath } from '../standin/backend-server.js';
+
+/** A path of a service as the benchmark uses it. */
+export interface BenchPath extends ServedPath {
+  readonly importance: Importance;
+  readonly idempotent: boolean;
+  /** Fraction of the root requests that callers send here. */
+  readonly rootShare: number;
+}
+
+/** A service with one backend server in each zone. */
+export interface BenchService {
+  readonly name: string;
+  readonly slots: number;
+  readonly coldCapacity: number;
+  readonly paths: readonly BenchPath[];
+}
+
+/** A client account. */
+export interface BenchAccount {
+  readonly name: string;
+  readonly key: string;
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** A deployment in a reduced form that fits on one machine. */
+export interface Topology {
+  readonly name: 'kelpie' | 'co-op';
+  readonly region: string;
+  readonly zones: readonly string[];
+  readonly services: readonly BenchService[];
+  readonly accounts: readonly BenchAccount[];
+}
+
+/** Deadline of each route and patience of each caller. */
+export const DEADLINE_MS = 1000;
+function path(
+  line: string,
+  serviceMs: number,
+  calls: readonly string[],
+  importance: Importance,
+  rootShare: number,
+  idempotent = true,
+): BenchPath {
+  const [method = '', target = ''] = line.split(' ');
+  return { method, path: target, serviceMs, calls, importance, rootShare, idempotent };
+}
+
+/** Path without service time, used to measure added latency only. */
+const PING: BenchPath = path('GET ping', 0, [], 'low', 0);
+
+/** Three large accounts and five small ones, whose rates add up to 3.2 times the capacity. */
+function accounts(names: readonly string[]): readonly BenchAccount[] {
+  return names.map((name, at) => {
+    const ratePerSecond = at < 3 ? 260 : 100;
+    return { name, key: `demo-key-of-${name}-0123456789`, ratePerSecond, burst: ratePerSecond };
+  });
+}
+
+/** Kelpie: a cut order checks its plan, which looks up blocks, and looks for a courier slot. */
+export const KELPIE: Topology = {
+  name: 'kelpie',
+  region: 'clyde',
+  zones: ['clyde-a', 'clyde-b', 'clyde-c'],
+  services: [
+    {
+      name: 'stockroom',
+      slots: 12,
+      coldCapacity: 3,
+      paths: [path('GET blocks/*', 100, [], 'low', 0.4), PING],
+    },
+    {
+      name: 'planner',
+      slots: 18,
+      coldCapacity: 4,
+      paths: [path('POST plans/check', 40, ['GET stockroom/blocks/oak'], 'normal', 0.3)],
+    },
+    {
+      name: 'orderdesk',
+      slots: 16,
+      coldCapacity: 4,
+      paths: [
+        path(
+          'POST orders',
+          30,
+          ['POST planner/plans/check', 'GET dispatch/slots'],
+          'critical',
+          0.2,
+          false,
+        ),
+      ],
+    },
+    {
+      name: 'dispatch',
+      slots: 6,
+      coldCapacity: 2,
+      paths: [
+        path('GET slots', 40, [], 'normal', 0),
+        path('POST bookings', 60, [], 'high', 0.1, false),
+      ],
+    },
+  ],
+  accounts: accounts([
+    'workshop-paisley',
+    'workshop-leith',
+    'workshop-oban',
+    'yard-troon',
+    'yard-ayr',
+    'yard-largs',
+    'studio-skye',
+    'studio-mull',
+  ]),
+};
+
+/** Co-op: a collection finds drop-off points, which reads a jar, and looks for a free van. */
+export const CO_OP: Topology = {
+  name: 'co-op',
+  region: 'recife',
+  zones: ['recife-a', 'recife-b', 'recife-c'],
+  services: [
+    {
+      name: 'balcao',
+      slots: 32,
+      coldCapacity: 8,
+      paths: [
+        path('GET balances/*', 20, ['GET caixa/jars/1'], 'normal', 0.5),
+        path('POST collections', 20, ['POST guia/near', 'GET frota/vans'], 'critical', 0.2, false),
+        PING,
+      ],
+    },
+    {
+      name: 'caixa',
+      slots: 11,
+      coldCapacity: 3,
+      paths: [
+        path('GET jars/*', 100, [], 'normal', 0),
+        path('POST credits', 100, [], 'high', 0.1, false),
+      ],
+    },
+    {
+      name: 'guia',
+      slots: 16,
+      coldCapacity: 4,
+      paths: [
+        path('GET points/*', 40, [], 'low', 0.2),
+        path('POST near', 40, ['GET caixa/jars/1'], 'normal', 0),
+      ],
+    },
+    {
+      name: 'frota',
+      slots: 6,
+      coldCapacity: 2,
+      paths: [path('GET vans', 40, [], 'normal', 0)],
+    },
+  ],
+  accounts: accounts([
+    'cafe-boa-vista',
+    'cafe-derby',
+    'cafe-torre',
+    'padaria-casa-forte',
+    'padaria-ipsep',
+    'mercado-encruzilhada',
+    'mercado-afogados',
+    'lar-varzea',
+  ]),
+};
+
+/**
+ * Finds a path by the line that a deeper call uses.
+ *
+ * @param topology - the deployment
+ * @param line - for example `GET stockroom/blocks/oak`
+ * @returns the service and the path
+ */
+function resolve(topology: Topology, line: string) {
+  const [method = '', target = ''] = line.split(' ');
+  const [name, first] = target.split('/');
+  const service = topology.services.find((candidate) => candidate.name === name);
+  const served = service?.paths.find(
+    (candidate) => candidate.method === method && candidate.path.split('/')[0] === first,
+  );
+  if (service === undefined || served === undefined) throw new Error(`no path serves ${line}`);
+  return { service, served };
+}
+
+/** Time in which a call holds a slot when nothing waits. */
+function holdMs(topology: Topology, served: BenchPath): number {
+  const deeper = served.calls.map((line) => holdMs(topology, resolve(topology, line).served));
+  return deeper.reduce((sum, one) => sum + one, served.serviceMs);
+}
+
+/**
+ * Computes the root requests per second at which the first service has all its slots busy.
+ *
+ * @param topology - the deployment
+ * @returns the capacity for the mix of root requests
+ */
+export function capacityPerS(topology: Topology): number {
+  const busyMs = new Map<string, number>();
+  const add = (service: string, served: BenchPath, share: number): void => {
+    busyMs.set(service, (busyMs.get(service) ?? 0) + share * holdMs(topology, served));
+    served.calls.forEach((line) => {
+      const deeper = resolve(topology, line);
+      add(deeper.service.name, deeper.served, share);
+    });
+  };
+  topology.services.forEach(({ name, paths }) =>
+    paths.forEach((served) => add(name, served, served.rootShare)),
+  );
+  return Math.min(
+    ...topology.services.map(
+      ({ name, slots }) => (slots * topology.zones.length * 1000) / (busyMs.get(name) ?? 1),
+    ),
+  );
+}
+
+/** What operators change while a benchmark runs. */
+export interface ConfigurationChange {
+  readonly revision: number;
+  readonly zonesOut: readonly string[];
+  /** Accounts whose keys are withdrawn. */
+  readonly withdrawn: readonly string[];
+}
+
+/**
+ * Describes the deployment as operators do.
+ *
+ * @param topology - the deployment
+ * @param change - revision, zones taken out and keys withdrawn
+ * @param hashKey - gives the published hash of a key
+ * @returns the configuration
+ */
+export function configurationOf(
+  topology: Topology,
+  change: ConfigurationChange,
+  hashKey: (key: string) => string,
+): Configuration {
+  const { services, zones, region } = topology;
+  const first = services[0]?.name ?? '';
+  return {
+    revision: change.revision,
+    seats: zones.map((zone) => `${first}-${zone}`),
+    zones: zones.map((name) => ({
+      name,
+      region,
+      state: change.zonesOut.includes(name) ? 'out' : 'in',
+    })),
+    services: services.map(({ name }) => ({ name })),
+    backendServers: services.flatMap(({ name: service, slots, coldCapacity }) =>
+      zones.map((zone) => {
+        const name = `${service}-${zone}`;
+        return { name, service, zone, slots, coldCapacity, connections: slots * 8 };
+      }),
+    ),
+    accounts: topology.accounts.map(({ name, key, ratePerSecond, burst }) => ({
+      name,
+      // An account keeps a second hash, so that withdrawing its key leaves the file set valid.
+      keyHashes: [
+        hashKey(`${key}-spare`),
+        ...(change.withdrawn.includes(name) ? [] : [hashKey(key)]),
+      ],
+      ratePerSecond,
+      burst,
+      weight: ratePerSecond,
+      services: services.map((service) => service.name),
+    })),
+    routes: services.flatMap(({ name: service, paths }) =>
+      paths.map((served, at) => ({
+        name: `${service}-${at}`,
+        service,
+        method: served.method,
+        path: served.path,
+        importance: served.importance,
+        idempotent: served.idempotent,
+        access: 'keyed' as const,
+        deadlineMs: DEADLINE_MS,
+        retries: 2,
+      })),
+    ),
+  };
+}
