--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -11,7 +11,8 @@
 import type { RawRequest } from '../core/pipeline/exchange.js';
 import type { Attempt } from '../core/pipeline/next-attempt.js';
 import { prepare, type EntryView } from '../core/pipeline/prepare.js';
-import type { Violation } from '../core/promises/violation.js';
+import { reportAll } from '../core/promises/report.js';
+import { assertPromise, type Violation } from '../core/promises/violation.js';
 import type { Settings } from '../core/settings/settings.js';
 import { CallerListener } from './caller-listener.js';
 import { ConfigurationTask } from './configuration-task.js';
@@ -199,17 +200,14 @@
   }
 
   async #close(isDrained: boolean): Promise<void> {
-    if (!isDrained) {
-      this.#report({
-        kind: 'violation',
-        promise: 'graceful-stop',
-        detail: `${this.#entry.open} requests were open at the stop deadline`,
-      });
-    }
+    const detail = () => `${this.#entry.open} requests were open at the stop deadline`;
+    reportAll(assertPromise('graceful-stop', isDrained, detail), this.#report);
     this.#log.write({ kind: 'event', code: 'nodeStopped', details: { open: this.#entry.open } });
     clearInterval(this.#pauses);
-    [this.#membership, this.#spread, this.#credit, this.#crashes].forEach((task) => task.close());
-    [this.#orders, this.#rootWatch].forEach((task) => task.close());
+    [this.#membership, this.#spread, this.#credit, this.#crashes, this.#orders].forEach((task) =>
+      task.close(),
+    );
+    this.#rootWatch.close();
     this.#callers.server.close();
     this.#callers.server.closeAllConnections();
     this.#metricsServer.close();
@@ -254,13 +252,15 @@
       ready: () => {
         this.#isReady = true;
       },
-      serviceHeard: () => {
-        this.#serviceHeardAt = this.#clock.now();
-        this.#credit.tellHolder({ kind: 'service-heard' });
-      },
+      serviceHeard: () => this.#hearService(),
     });
   }
 
+  #hearService(): void {
+    this.#serviceHeardAt = this.#clock.now();
+    this.#credit.tellHolder({ kind: 'service-heard' });
+  }
+
   #createCrashes(): CrashTask {
     return new CrashTask({
       clock: this.#clock,
