Test the size of heartbeats and the reads during an outage

Cause: two bounds of the spread had no test: heads in a heartbeat, and reads of a service that is down. Change: tests with 20 host lists, and with 600 s of failing reads for a watcher and for another node.

--- a/test/core/spread/spread-rules.test.ts
+++ b/test/core/spread/spread-rules.test.ts
@@ -3,7 +3,12 @@
 import { err, ok } from 'neverthrow';
 import type { Document } from '../../../src/core/model/document.js';
 import { applyDelta, diffDocuments } from '../../../src/core/spread/delta.js';
-import { decideSpread, initialSpread, type SpreadState } from '../../../src/core/spread/spread.js';
+import {
+  decideSpread,
+  heads,
+  initialSpread,
+  type SpreadState,
+} from '../../../src/core/spread/spread.js';
 import type { SpreadEffect, SpreadMessage } from '../../../src/core/spread/spread-message.js';
 import { configurationOf } from './spread-driver.js';
 
@@ -100,3 +105,54 @@
   ]);
   assert.deepEqual(kindsOf(effects), ['rejected', 'apply']);
 });
+
+test('a heartbeat carries at most three heads, and all host lists in turn', () => {
+  // Guards against heartbeats that grow with the number of zones.
+  const decide = decideSpread(options);
+  let state = initialSpread(options);
+  const topics = Array.from({ length: 20 }, (_, index) => `hosts/z${index}` as const);
+  topics.forEach((topic) => {
+    const document = { ...configurationOf(1), topic };
+    state = decide(state, { kind: 'document-received', peer: 'dispatch-2', document }, 0).state;
+  });
+  const seen = new Set<string>();
+  for (let tick = 1; tick <= 100; tick += 1) {
+    state = decide(state, { kind: 'tick' }, tick * 100).state;
+    const told = heads(state);
+    assert.ok(told.length <= 3 && told[0]?.topic === 'configuration');
+    told.forEach((head) => seen.add(head.topic));
+  }
+  assert.equal(seen.size, topics.length + 1);
+});
+
+test('watchers come back fast after an outage, and all others back off up to 30 s', () => {
+  // Guards against a fleet that floods a configuration service that is down, and against a slow
+  // return of the few nodes that have to notice the next revision.
+  const readsWith = (others: number): number => {
+    const decide = decideSpread(options);
+    const names = Array.from({ length: others }, (_, index) => `dispatch-${index + 2}`);
+    const hosts = [...names, options.node].map((backendServer) => ({
+      backendServer,
+      service: 'dispatch',
+      zone: options.zone,
+      peerAddress: '127.0.0.1:7000',
+      state: 'live' as const,
+    }));
+    let { state } = decide(initialSpread(options), { kind: 'hosts-changed', hosts }, 0);
+    let reads = 0;
+    for (let now = 0; now < 600_000; now += 100) {
+      const ticked = decide(state, { kind: 'tick' }, now);
+      state = ticked.state;
+      for (const effect of ticked.effects) {
+        if (effect.kind !== 'read-service' && effect.kind !== 'watch-service') continue;
+        if (effect.topic === 'configuration') reads += 1;
+        state = decide(state, { kind: 'service-failed', topic: effect.topic }, now).state;
+      }
+    }
+    return reads;
+  };
+  const alone = readsWith(0);
+  assert.ok(alone >= 500 && alone <= 1300, `${alone} reads of a watcher in 600 s`);
+  const reader = readsWith(200);
+  assert.ok(reader >= 15 && reader <= 40, `${reader} reads of another node in 600 s`);
+});
