Bound the topics that peers can add to the spread

Cause: beyond the limit of 64 topics, heads were still pulled and documents still applied, without being remembered. Change: heads and documents of further topics are ignored.

--- a/src/core/spread/document-intake.ts
+++ b/src/core/spread/document-intake.ts
@@ -9,6 +9,7 @@
 import {
   headOf,
   hostsTopic,
+  isTopicAdmitted,
   serviceAgeMs,
   topicState,
   withTopic,
@@ -142,6 +143,7 @@
   now: Instant,
 ): SpreadStep {
   const { topic, version, digest } = document;
+  if (!isTopicAdmitted(state, topic)) return step(state);
   const head: DocumentHead = { topic, version, digest };
   const { current, rejected } = topicState(state, topic);
   if (current !== null && version < current.version) {
--- a/src/core/spread/peer-exchange.ts
+++ b/src/core/spread/peer-exchange.ts
@@ -9,6 +9,7 @@
 import {
   andThen,
   forEachStep,
+  isTopicAdmitted,
   topicState,
   withTopic,
   type SpreadOptions,
@@ -54,6 +55,7 @@
   now: Instant,
 ): SpreadStep {
   const { topic } = head;
+  if (!isTopicAdmitted(state, topic)) return step(state);
   const { current, rejected, offers, pull } = topicState(state, topic);
   const version = current?.version ?? 0;
   if (head.version < version) {
--- a/src/core/spread/spread-state.ts
+++ b/src/core/spread/spread-state.ts
@@ -126,6 +126,17 @@
   );
 }
 
+/**
+ * Tells whether a topic is kept or may still be added.
+ *
+ * @param state - state of the spread
+ * @param topic - the topic
+ * @returns false for a new topic when the limit is reached
+ */
+export function isTopicAdmitted(state: SpreadState, topic: Topic): boolean {
+  return state.topics.has(topic) || state.topics.size < MAX_TOPICS;
+}
+
 /**
  * Replaces fields of a topic.
  *
@@ -139,7 +150,7 @@
   topic: Topic,
   change: Partial<TopicState>,
 ): SpreadState {
-  if (!state.topics.has(topic) && state.topics.size >= MAX_TOPICS) return state;
+  if (!isTopicAdmitted(state, topic)) return state;
   const next = { ...topicState(state, topic), ...change };
   return { ...state, topics: state.topics.set(topic, next) };
 }
--- a/test/core/spread/spread-rules.test.ts
+++ b/test/core/spread/spread-rules.test.ts
@@ -156,3 +156,17 @@
   const reader = readsWith(200);
   assert.ok(reader >= 15 && reader <= 40, `${reader} reads of another node in 600 s`);
 });
+
+test('a peer that invents host lists cannot add them without limit', () => {
+  // Guards against memory and pulls that grow with the names a faulty peer tells.
+  const documents = Array.from({ length: 100 }, (_, index) => ({
+    ...configurationOf(1),
+    topic: `hosts/invented${index}` as const,
+  }));
+  const told = documents.map((document) => [0, headsFrom('dispatch-2', document)] as const);
+  assert.equal(play(told).length, 62);
+  const sent = documents.map(
+    (document) => [0, { kind: 'document-received', peer: 'dispatch-2', document }] as const,
+  );
+  assert.equal(play(sent).length, 62);
+});
