Check wrongful refusals under random arrivals, listed as known red

Cause: the calm check paces arrivals; with random arrivals small bursts over several seats are refused more often than the target allows.

--- a/test/core/credit/fleet.test.ts
+++ b/test/core/credit/fleet.test.ts
@@ -224,3 +224,35 @@
   // Half of an equal part; the quietest entry asks for exactly the whole rate.
   assert.ok(Math.min(...parts) >= total / 8, parts.join(' '));
 });
+
+test(
+  'random arrivals inside the rate are refused no more than by one central bucket',
+  { todo: 'KNOWN-RED.txt: small bursts split over five seats lose refill' },
+  () => {
+    // Guards the wrongful-refusal target (0.5% in calm) with Poisson arrivals at 90% of the rate;
+    // what one bucket with the whole rate and burst refuses as well is not wrongful.
+    const link = { maxDelayMs: 1, drop: 0, duplicate: 0 };
+    const fleet = new Fleet({ seed: 7, entries: 17, accounts, link });
+    const central = accounts.map(({ name, ratePerSecond, burst }) => {
+      let free = burst;
+      let refused = 0;
+      let gapMs = 0;
+      for (let at = 12_000; at < 72_000; at += gapMs) {
+        free = Math.min(burst, free + (gapMs * ratePerSecond) / 1000);
+        if (free >= 1) free -= 1;
+        else refused += 1;
+        fleet.at(at, () => fleet.spend(Math.floor(fleet.random() ** 3 * 17), name));
+        gapMs = (-Math.log(1 - fleet.random()) * 1000) / (ratePerSecond * 0.9);
+      }
+      return refused;
+    });
+    fleet.run(73_000);
+    const wrongful = accounts.flatMap(({ name }, place) => {
+      const answers = fleet.answers.filter((answer) => answer.account === name);
+      const refused = answers.filter(({ isAdmitted }) => !isAdmitted).length;
+      const excess = refused - (central[place] ?? 0);
+      return excess >= 0.005 * answers.length ? [`${name}: ${excess} of ${answers.length}`] : [];
+    });
+    assert.deepEqual(wrongful, []);
+  },
+);
