Read parts by the manifest and keep watches short

The client took every digest in the manifest for a part, so no configuration was ever opened. Watches of 20 s looked like an outage of the service to the other nodes.

--- a/src/runtime/service-client.ts
+++ b/src/runtime/service-client.ts
@@ -1,7 +1,8 @@
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 import { request } from 'undici';
 import { formatFault, type Fault } from '../core/errors/fault.js';
 import { openBundle } from '../core/configuration/bundle.js';
+import { readManifest, type PartHead } from '../core/configuration/manifest.js';
 import type { Document, Topic } from '../core/model/document.js';
 import { readHostList } from './host-list.js';
 
@@ -17,7 +18,9 @@
 }
 
 const READ_TIMEOUT_MS = 1500;
-const WATCH_WAIT_MS = 20_000;
+
+/** Short, since an answered watch is the sign by which the fleet knows the service works. */
+const WATCH_WAIT_MS = 1000;
 const MAX_VALUE_BYTES = 1_000_000;
 
 function valueName(topic: Topic): string {
@@ -37,6 +40,8 @@
   /** Version tag of the last value by topic, from which a watch goes on. */
   readonly #etags = new Map<Topic, string>();
 
+  #parts: ReadonlyMap<string, string> = new Map();
+
   readonly #stop = new AbortController();
 
   /**
@@ -102,15 +107,23 @@
   }
 
   #readParts(manifestText: string): ResultAsync<ReadonlyMap<string, string>, string> {
-    const digests = [...manifestText.matchAll(/"digest":\s*"([0-9a-f]{64})"/g)].flatMap(
-      ([, digest]) => (digest === undefined ? [] : [digest]),
-    );
-    const reads = digests.map((digest) =>
-      this.#get(`/v1/values/configuration/parts/${digest}`, READ_TIMEOUT_MS).map(
-        (value): readonly [string, string] => [digest, value?.text ?? ''],
-      ),
-    );
-    return ResultAsync.combine(reads).map((pairs) => new Map(pairs));
+    return readManifest(manifestText, 'configuration/manifest')
+      .mapErr(faultText)
+      .asyncAndThen(({ parts }) => ResultAsync.combine(parts.map((part) => this.#readPart(part))))
+      .map((pairs) => {
+        // Parts are named by their content, so those of the last manifest need no second read.
+        this.#parts = new Map(pairs);
+        return this.#parts;
+      });
+  }
+
+  #readPart({ digest }: PartHead): ResultAsync<readonly [string, string], string> {
+    const known = this.#parts.get(digest);
+    if (known !== undefined) return okAsync([digest, known]);
+    return this.#get(`/v1/values/configuration/parts/${digest}`, READ_TIMEOUT_MS).map((value) => [
+      digest,
+      value?.text ?? '',
+    ]);
   }
 
   #get(path: string, timeoutMs: number): ResultAsync<ServiceValue | null, string> {
