--- a/src/core/credit/bucket.ts
+++ b/src/core/credit/bucket.ts
@@ -144,7 +144,7 @@
 function offer(bucket: Bucket, draw: Draw): number {
   const { free, burst, drawers } = bucket;
   const spare = Math.floor(free - burst * AHEAD_RESERVE);
-  if (draw.ahead === true) return Math.min(draw.want, spare);
+  if (draw.isAhead) return Math.min(draw.want, spare);
   // The upper part goes to whoever asks; the rest is divided among the drawing entries.
   const part = Math.max(1, Math.floor(free / drawers.size), spare);
   return Math.min(draw.want, part, Math.floor(free));
--- a/src/core/credit/wallet.ts
+++ b/src/core/credit/wallet.ts
@@ -113,10 +113,9 @@
   const drawId = wallet.nextDrawId;
   const purse = notePending(purseOf(wallet, account, now), drawId, { ...draw, sentAt: now });
   const { seat, want, isAhead } = draw;
-  const mark = isAhead ? { ahead: true } : {};
   return step<Wallet, WalletEffect>(
     { ...withPurse(wallet, account, purse), nextDrawId: drawId + 1 },
-    { kind: 'send-draw', seat, draw: { kind: 'draw', drawId, account, want, ...mark } },
+    { kind: 'send-draw', seat, draw: { kind: 'draw', drawId, account, want, isAhead } },
   );
 }
 
--- a/src/core/model/peer-message.ts
+++ b/src/core/model/peer-message.ts
@@ -11,7 +11,7 @@
   readonly account: AccountName;
   readonly want: number;
   /** True when no request waits for it; such a draw leaves half of the burst to those that wait. */
-  readonly ahead?: boolean;
+  readonly isAhead: boolean;
 }
 
 /** Tokens given to an entry; already debited at the holder. */
--- a/src/runtime/frame-codec.ts
+++ b/src/runtime/frame-codec.ts
@@ -155,7 +155,13 @@
   }),
   delta: Codec.interface({ kind: exactly('delta'), delta }),
   document: Codec.interface({ kind: exactly('document'), document }),
-  draw: Codec.interface({ kind: exactly('draw'), drawId: finite, account: string, want: finite }),
+  draw: Codec.interface({
+    kind: exactly('draw'),
+    drawId: finite,
+    account: string,
+    want: finite,
+    isAhead: boolean,
+  }),
   grant: Codec.interface({
     kind: exactly('grant'),
     drawId: finite,
--- a/test/core/credit/holder.test.ts
+++ b/test/core/credit/holder.test.ts
@@ -18,10 +18,10 @@
   accounts: [account('x', 1, 100)],
   routes: [],
 };
-const draw: HolderMessage = {
+const draw: Extract<HolderMessage, { kind: 'draw' }> = {
   kind: 'draw',
   peer: 'e',
-  draw: { kind: 'draw', drawId: 1, account: 'x', want: 1 },
+  draw: { kind: 'draw', drawId: 1, account: 'x', want: 1, isAhead: false },
 };
 const heard: HolderMessage = { kind: 'zone-heard', zone: 'b' };
 
