Open links on demand to homes of orders and to seats

Links to every seat would be a full mesh at 7,400 nodes, and an order whose home was no neighbour ended as unknown. Links to at most 32 seats are kept ahead of need; others and homes are opened when the first message is due.

--- a/src/core/membership/membership-message.ts
+++ b/src/core/membership/membership-message.ts
@@ -41,7 +41,10 @@
     }
   /** Calls to the service need candidates at this node. */
   | { readonly kind: 'service-wanted'; readonly service: ServiceName }
+  /** Seats to which links are kept open ahead of need. */
   | { readonly kind: 'seats-wanted'; readonly seats: readonly BackendServerName[] }
+  /** A message to the peer is due: it remembers an order or holds credit. */
+  | { readonly kind: 'peer-wanted'; readonly peer: BackendServerName }
   | { readonly kind: 'tick' };
 
 /** What membership asks its task to do. */
--- a/src/core/membership/membership-state.ts
+++ b/src/core/membership/membership-state.ts
@@ -59,6 +59,8 @@
   /** Services that are called from this node, and the instant of the last call. */
   readonly services: PersistentMap<ServiceName, Instant>;
   readonly seats: readonly BackendServerName[];
+  /** Peers that a message was due to, with the instant of the last one. */
+  readonly wantedPeers: PersistentMap<BackendServerName, Instant>;
   readonly plan: LinkPlan;
   /** Neighbours as last told to the other tasks. */
   readonly toldNeighbours: readonly BackendServerName[];
@@ -86,6 +88,7 @@
     links: PersistentMap(),
     services: PersistentMap(),
     seats: [],
+    wantedPeers: PersistentMap(),
     plan: { neighbours: [], subsets: PersistentMap() },
     toldNeighbours: [],
     startedAt: null,
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -106,8 +106,11 @@
     (link) =>
       link.peer === state.node || link.state !== 'closed' || now - link.since < SUSPICION_MS,
   );
+  const wantedPeers = state.wantedPeers.filter((wantedAt) => now - wantedAt < IDLE_LIMIT_MS);
   const isSame = services.size === state.services.size && links.size === state.links.size;
-  return isSame ? state : planLinks({ ...state, services, links });
+  if (isSame)
+    return wantedPeers.size === state.wantedPeers.size ? state : { ...state, wantedPeers };
+  return planLinks({ ...state, services, links, wantedPeers });
 }
 
 function superviseLinks(state: MembershipState, now: Instant): MembershipStep {
@@ -196,6 +199,10 @@
       return wantService(state, message.service, now);
     case 'seats-wanted':
       return superviseLinks({ ...state, seats: message.seats }, now);
+    case 'peer-wanted': {
+      const wantedPeers = state.wantedPeers.set(message.peer, now);
+      return superviseLinks({ ...state, wantedPeers }, now);
+    }
     case 'tick':
       return superviseLinks(expire(state, now), now);
   }
--- a/src/runtime/configuration-task.ts
+++ b/src/runtime/configuration-task.ts
@@ -17,6 +17,9 @@
   readonly createGate: (backendServer: BackendServer) => GateTask;
 }
 
+/** With more seats, links are opened when an account's credit is first drawn. */
+const EAGER_SEATS_MAX = 32;
+
 const HOSTS_PREFIX = 'hosts/';
 
 /** Owner of the configuration in force, of the gate, and of whether the gate takes work. */
@@ -75,7 +78,8 @@
     const lookup = new Lookup(configuration);
     this.#lookup = lookup;
     membership.send({ kind: 'zones-configured', zones: configuration.zones });
-    membership.send({ kind: 'seats-wanted', seats: configuration.seats });
+    const isSmall = configuration.seats.length <= EAGER_SEATS_MAX;
+    membership.send({ kind: 'seats-wanted', seats: isSmall ? configuration.seats : [] });
     credit.configure(configuration);
     const backendServer = lookup.backendServer(identity.node);
     if (backendServer !== null) this.#configureGate(backendServer, configuration);
--- a/src/runtime/credit-task.ts
+++ b/src/runtime/credit-task.ts
@@ -24,8 +24,18 @@
   readonly report: Report;
   /** Sends to another node; false when nothing was sent. */
   readonly send: (peer: BackendServerName, message: PeerMessage) => boolean;
+  /** Asks for a link to the holder of a seat. */
+  readonly wantPeer: (peer: BackendServerName) => void;
 }
 
+interface LateDraw {
+  readonly draw: Draw;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** A new link takes a few milliseconds; after this time the seat counts as lost. */
+const LINK_WAIT_MS = 150;
+
 /** The library's random integers are drawn below 2 to the power of 48. */
 const FIRST_DRAW_ID_LIMIT = 2 ** 47;
 
@@ -39,6 +49,9 @@
 
   readonly #waiting = new Map<RequestId, (result: Result<void, Refusal>) => void>();
 
+  /** Draws that wait for a link to their seat. */
+  readonly #lateDraws = new Map<BackendServerName, readonly LateDraw[]>();
+
   readonly #tickers: readonly NodeJS.Timeout[];
 
   /**
@@ -142,12 +155,22 @@
     this.#holder.send({ kind: 'settled', peer, settlement });
   }
 
+  /**
+   * Sends the draws that waited for a link.
+   *
+   * @param seat - the seat whose holder can be reached now
+   */
+  seatOpened(seat: BackendServerName): void {
+    this.#takeLateDraws(seat).forEach(({ draw }) => this.#sendDraw(seat, draw));
+  }
+
   /**
    * Tells the wallet that no message reaches a seat any more.
    *
    * @param seat - the seat
    */
   seatLost(seat: BackendServerName): void {
+    this.#takeLateDraws(seat);
     this.#wallet.send({ kind: 'seat-lost', seat });
   }
 
@@ -200,7 +223,20 @@
   #sendDraw(seat: BackendServerName, draw: Draw): void {
     const { identity, send } = this.#options;
     if (seat === identity.node) this.#holder.send({ kind: 'draw', peer: seat, draw });
-    else if (!send(seat, draw)) this.#wallet.send({ kind: 'seat-lost', seat });
+    else if (!send(seat, draw)) this.#delayDraw(seat, draw);
+  }
+
+  #delayDraw(seat: BackendServerName, draw: Draw): void {
+    const timer = setTimeout(() => this.seatLost(seat), LINK_WAIT_MS);
+    this.#lateDraws.set(seat, [...(this.#lateDraws.get(seat) ?? []), { draw, timer }]);
+    this.#options.wantPeer(seat);
+  }
+
+  #takeLateDraws(seat: BackendServerName): readonly LateDraw[] {
+    const late = this.#lateDraws.get(seat) ?? [];
+    this.#lateDraws.delete(seat);
+    late.forEach(({ timer }) => clearTimeout(timer));
+    return late;
   }
 
   #sendSettlement(seat: BackendServerName, settlement: Settlement): void {
--- a/src/runtime/link-table.ts
+++ b/src/runtime/link-table.ts
@@ -27,6 +27,11 @@
   readonly onEvent: (event: TableEvent) => void;
 }
 
+interface Target {
+  readonly peer: BackendServerName;
+  readonly address: string;
+}
+
 const CONNECT_TIMEOUT_MS = 1000;
 
 function listenerFor(tls: TlsMaterial | null): Server {
@@ -58,7 +63,7 @@
       maxPayload: options.maxFrameBytes,
       perMessageDeflate: false,
     });
-    this.#webSocketServer.on('connection', (socket) => this.#add(socket, 'listener', null));
+    this.#webSocketServer.on('connection', (socket) => this.#add(socket, null));
     this.#webSocketServer.on('error', () => {});
   }
 
@@ -86,17 +91,17 @@
       perMessageDeflate: false,
       ...tls,
     });
-    this.#add(socket, 'opener', peer);
+    this.#add(socket, { peer, address });
   }
 
   /**
-   * Closes the links to a peer in order.
+   * Closes the links that this node opened to a peer; those of the peer stay.
    *
    * @param peer - the peer
    */
   disconnect(peer: BackendServerName): void {
     [...this.#links]
-      .filter((link) => link.peer?.node === peer)
+      .filter((link) => link.peer?.node === peer && link.address !== null)
       .forEach((link) => {
         link.close();
       });
@@ -159,21 +164,22 @@
     return this.#ready.get(peer)?.at(-1);
   }
 
-  #add(socket: WebSocket, role: 'opener' | 'listener', expected: BackendServerName | null): void {
+  #add(socket: WebSocket, target: Target | null): void {
     const { identity, secret, clock, heartbeat } = this.#options;
     const link = new PeerLink({
       socket,
-      role,
+      role: target === null ? 'listener' : 'opener',
+      address: target?.address ?? null,
       identity,
       secret,
       clock,
       heartbeat,
-      onEvent: (event, source) => this.#receive(event, source, expected),
+      onEvent: (event, source) => this.#receive(event, source, target),
     });
     this.#links.add(link);
   }
 
-  #receive(event: LinkEvent, link: PeerLink, expected: BackendServerName | null): void {
+  #receive(event: LinkEvent, link: PeerLink, target: Target | null): void {
     switch (event.kind) {
       case 'opened': {
         const { node } = event.identity;
@@ -182,7 +188,7 @@
         break;
       }
       case 'closed':
-        this.#closed(event, link, expected);
+        this.#closed(event, link, target);
         break;
       case 'message':
       case 'late-answer':
@@ -197,17 +203,21 @@
   #closed(
     event: Extract<LinkEvent, { kind: 'closed' }>,
     link: PeerLink,
-    expected: BackendServerName | null,
+    target: Target | null,
   ): void {
     this.#links.delete(link);
     const peer = event.identity?.node ?? null;
     if (peer === null) {
-      if (expected !== null) this.#options.onEvent({ kind: 'connect-failed', peer: expected });
+      if (target !== null) this.#options.onEvent({ kind: 'connect-failed', peer: target.peer });
       return;
     }
     const others = (this.#ready.get(peer) ?? []).filter((other) => other !== link);
-    if (others.length > 0) {
+    const remaining = others.at(-1);
+    if (remaining !== undefined && event.identity !== null) {
       this.#ready.set(peer, others);
+      // The membership has to know which connection it still has.
+      const reopened = { kind: 'opened', identity: event.identity } as const;
+      this.#options.onEvent({ kind: 'link', event: reopened, link: remaining });
       return;
     }
     this.#ready.delete(peer);
--- a/src/runtime/membership-task.ts
+++ b/src/runtime/membership-task.ts
@@ -118,6 +118,20 @@
     });
   }
 
+  /**
+   * Waits for a link to a peer.
+   *
+   * @param peer - the peer
+   * @param timeoutMs - time after which waiting ends
+   */
+  async opened(peer: BackendServerName, timeoutMs: Milliseconds): Promise<void> {
+    const now = this.#options.clock.now();
+    await this.change(timeoutMs);
+    const leftMs = timeoutMs - (this.#options.clock.now() - now);
+    const isOpen = this.#task.state.links.get(peer)?.state === 'open';
+    if (!isOpen && leftMs > 0) await this.opened(peer, leftMs);
+  }
+
   /**
    * Tells whether the node has heard neither the service nor a peer for a time.
    *
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -2,18 +2,16 @@
 import { okAsync, ResultAsync } from 'neverthrow';
 import type { Fault } from '../core/errors/fault.js';
 import type { Identity } from '../core/membership/handshake.js';
-import type { Answer, Call } from '../core/model/call.js';
 import type { BackendServer } from '../core/model/configuration.js';
-import type { BackendServerName, RequestId } from '../core/model/names.js';
 import { ContextHandles } from '../core/pipeline/context-handle.js';
 import { accept } from '../core/pipeline/accept.js';
 import { authenticate } from '../core/pipeline/authenticate.js';
 import type { RawRequest } from '../core/pipeline/exchange.js';
-import type { Attempt } from '../core/pipeline/next-attempt.js';
 import { prepare, type EntryView } from '../core/pipeline/prepare.js';
 import { reportAll } from '../core/promises/report.js';
 import { assertPromise, type Violation } from '../core/promises/violation.js';
 import type { Settings } from '../core/settings/settings.js';
+import { CallSender } from './call-sender.js';
 import { CallerListener } from './caller-listener.js';
 import { ConfigurationTask } from './configuration-task.js';
 import { CrashTask } from './crash-task.js';
@@ -82,6 +80,8 @@
 
   readonly #runs: RunTask;
 
+  readonly #sender: CallSender;
+
   readonly #placement: Placement;
 
   readonly #orders: OrderTask;
@@ -131,6 +131,7 @@
       clock: this.#clock,
       report: this.#report,
       send: this.#sendToPeer,
+      wantPeer: (peer) => this.#membership.send({ kind: 'peer-wanted', peer }),
     });
     this.#configuration = new ConfigurationTask({
       identity: this.#identity,
@@ -144,6 +145,12 @@
       report: this.#report,
       cancelChild: (childId) => this.#entry.cancel(childId),
     });
+    this.#sender = new CallSender({
+      node: backendServer,
+      links: this.#links,
+      membership: this.#membership,
+      gate: () => this.#configuration.gate,
+    });
     this.#placement = this.#createPlacement();
     this.#orders = this.#createOrders();
     this.#entry = this.#createEntry();
@@ -282,8 +289,7 @@
       region: () => this.#membership.region,
       candidates: (service) => this.#membership.candidates(service),
       candidateChange: (timeoutMs) => this.#membership.change(timeoutMs),
-      send: (backendServer, call) => this.#sendCall(backendServer, call),
-      attempted: (backendServer, attempt) => this.#learnLoad(backendServer, attempt),
+      send: (backendServer, call) => this.#sender.send(backendServer, call),
     });
   }
 
@@ -295,7 +301,7 @@
       log: this.#log,
       report: this.#report,
       place: (call) => this.#placement.place(call),
-      sendHome: (home, call, orderId) => this.#links.call(home, call, orderId),
+      sendHome: (home, call, orderId) => this.#sender.sendHome(home, call, orderId),
     });
   }
 
@@ -309,7 +315,7 @@
       orders: this.#orders,
       runs: this.#runs,
       rootEnded: (call, placed) => this.#rootWatch.ended(call, placed),
-      cancelAt: (peer, sendId) => this.#cancelAt(peer, sendId),
+      cancelAt: (peer, sendId) => this.#sender.cancel(peer, sendId),
     });
   }
 
@@ -373,28 +379,6 @@
       );
   }
 
-  #sendCall(backendServer: BackendServerName, call: Call): Promise<Attempt> {
-    if (backendServer !== this.#identity.node) return this.#links.call(backendServer, call, null);
-    const { gate } = this.#configuration;
-    if (gate === null) return Promise.resolve({ kind: 'unsent' });
-    return new Promise((resolve) => {
-      gate.admit(call, (answer: Answer) => resolve({ kind: 'replied', answer }));
-    });
-  }
-
-  #cancelAt(peer: BackendServerName, sendId: RequestId): void {
-    if (peer === this.#identity.node) this.#configuration.gate?.cancel(sendId);
-    else this.#links.cancel(peer, sendId);
-  }
-
-  #learnLoad(peer: BackendServerName, attempt: Attempt): void {
-    if (attempt.kind !== 'replied') return;
-    const { load, outcome } = attempt.answer;
-    const refused = outcome.kind === 'refused';
-    this.#membership.send({ kind: 'frame-received', peer, isUse: true });
-    this.#membership.send({ kind: 'load-told', peer, load, refused });
-  }
-
   #createGate(backendServer: BackendServer): GateTask {
     return new GateTask({
       backendServer,
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -40,6 +40,8 @@
 export interface PeerLinkOptions {
   readonly socket: WebSocket;
   readonly role: 'opener' | 'listener';
+  /** Address that this node connected to; null when the peer opened the link. */
+  readonly address: string | null;
   readonly identity: Identity;
   readonly secret: string;
   readonly clock: Clock;
@@ -92,6 +94,11 @@
     return this.#peer;
   }
 
+  /** @returns the address that this node connected to, or null when the peer opened the link */
+  get address(): string | null {
+    return this.#options.address;
+  }
+
   /** @returns whether calls may be sent over the link */
   get isReady(): boolean {
     return this.#isReady;
--- a/src/runtime/peer-router.ts
+++ b/src/runtime/peer-router.ts
@@ -64,7 +64,7 @@
   #receiveLinkEvent(event: LinkEvent, link: PeerLink): void {
     switch (event.kind) {
       case 'opened':
-        this.#opened(event.identity);
+        this.#opened(event.identity, link.address);
         break;
       case 'message':
         this.#receive(event.identity, event.message, link);
@@ -105,9 +105,14 @@
     this.#options.log.write({ kind: 'event', code, details });
   }
 
-  #opened(peer: Identity): void {
+  #opened(peer: Identity, address: string | null): void {
     const { credit, membership } = this.#options;
-    membership.send({ kind: 'link-opened', peer: peer.node });
+    membership.send(
+      address === null
+        ? { kind: 'link-opened', peer: peer.node }
+        : { kind: 'link-opened', peer: peer.node, address },
+    );
+    credit.seatOpened(peer.node);
     credit.tellHolder({ kind: 'zone-heard', zone: peer.zone });
     this.#options.metrics.links.set(this.#options.links.peers.length);
     this.#learn([{ seat: peer.node, incarnation: peer.incarnation }]);
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -29,7 +29,6 @@
   /** Resolves when another candidate may have appeared, or after the time. */
   readonly candidateChange: (timeoutMs: Milliseconds) => Promise<void>;
   readonly send: (backendServer: BackendServerName, call: Call) => Promise<Attempt>;
-  readonly attempted: (backendServer: BackendServerName, attempt: Attempt) => void;
 }
 
 interface Progress {
@@ -197,7 +196,7 @@
       readonly number: number;
     },
   ): Promise<Attempt> {
-    const { send, attempted } = this.#options;
+    const { send, report } = this.#options;
     const { backendServer, allotment } = to;
     const id = `${call.requestId}.${to.number}`;
     this.#count(backendServer, 1);
@@ -205,7 +204,11 @@
     const attempt = await send(backendServer, { ...call, requestId: id, retries: allotment });
     this.#holders.delete(call.requestId);
     this.#count(backendServer, -1);
-    attempted(backendServer, attempt);
+    const isOwn = attempt.kind !== 'replied' || attempt.answer.requestId === id;
+    reportAll(
+      assertPromise('own-answer', isOwn, () => `${id} got the answer to another call`),
+      report,
+    );
     return attempt;
   }
 
