--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -82,9 +82,8 @@
     const app = new Hono<{ Bindings: HttpBindings }>();
     app.post('/almondhoist/orders', (context) => this.#issueOrder(context));
     app.all('*', (context) => this.#handle(context));
-    const listener = getRequestListener((request, env) => app.fetch(request, env), {
-      overrideGlobalObjects: false,
-    });
+    // The library's own Response class, which it installs, is written without a stream.
+    const listener = getRequestListener((request, env) => app.fetch(request, env));
     const { tls } = options;
     const settings = { maxHeaderSize: MAX_HEADER_BYTES };
     this.server =
