Read a changed configuration once and measure the slopes of the capacity page

Every new revision was parsed twice, once for its check and once when applied. The script bench/slopes.ts measures the costs per entry, host and call.

--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,258 @@
+import { writeFile } from 'node:fs/promises';
+import { performance } from 'node:perf_hooks';
+import { DocumentReader, toDocument } from '../src/core/configuration/document.js';
+import { Lookup } from '../src/core/configuration/lookup.js';
+import { decideGate } from '../src/core/admission/gate.js';
+import { initialAdmissions } from '../src/core/admission/gate-state.js';
+import { decideMembership, initialMembership } from '../src/core/membership/membership.js';
+import type { Call } from '../src/core/model/call.js';
+import type { Configuration } from '../src/core/model/configuration.js';
+import type { Host } from '../src/core/model/host.js';
+import type { PeerMessage } from '../src/core/model/peer-message.js';
+import { rankByRendezvous } from '../src/core/routing/rendezvous.js';
+import { decodeFrame, encodeFrame } from '../src/runtime/frame-codec.js';
+
+/** One measured line: cost at two sizes, and the difference for one more unit. */
+interface Slope {
+  readonly name: string;
+  readonly unit: string;
+  readonly sizes: readonly [number, number];
+  readonly costs: readonly [number, number];
+  readonly perUnit: number;
+}
+
+const REPEATS = 7;
+const RESULT_FILE = 'bench/results/slopes.json';
+
+function median(values: readonly number[]): number {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+}
+
+/** Median over some repeats, in microseconds, after one run to warm up. */
+function microseconds(run: () => void): number {
+  run();
+  const samples = Array.from({ length: REPEATS }, () => {
+    const start = performance.now();
+    run();
+    return (performance.now() - start) * 1000;
+  });
+  return median(samples);
+}
+
+function heapBytes(build: () => unknown): number {
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const kept = build();
+  globalThis.gc?.();
+  const after = process.memoryUsage().heapUsed;
+  return kept === undefined ? 0 : after - before;
+}
+
+function slope(
+  name: string,
+  unit: string,
+  sizes: readonly [number, number],
+  cost: (size: number) => number,
+): Slope {
+  const costs = [cost(sizes[0]), cost(sizes[1])] as const;
+  const perUnit = (costs[1] - costs[0]) / (sizes[1] - sizes[0]);
+  return { name, unit, sizes, costs, perUnit };
+}
+
+function hostsOf(count: number, zones: number): readonly Host[] {
+  return Array.from({ length: count }, (_, index) => ({
+    backendServer: `service-${index % 600}-server-${index}`,
+    service: `service-${index % 600}`,
+    zone: `zone-${index % zones}`,
+    peerAddress: `10.1.${index % 250}.7:9080`,
+    state: 'live',
+  }));
+}
+
+/** A configuration in which a twelfth of the entries are services. */
+function configurationOf(entries: number): Configuration {
+  const services = Array.from({ length: Math.ceil(entries / 12) }, (_, at) => `service-${at}`);
+  const zones = Array.from({ length: 15 }, (_, at) => `zone-${at}`);
+  const serverCount = entries - 2 * services.length - zones.length;
+  return {
+    revision: 1,
+    seats: ['server-0'],
+    zones: zones.map((name, at) => ({ name, region: `region-${at % 5}`, state: 'in' })),
+    services: services.map((name) => ({ name })),
+    backendServers: Array.from({ length: serverCount }, (_, at) => ({
+      name: `server-${at}`,
+      service: services[at % services.length] ?? '',
+      zone: zones[at % zones.length] ?? '',
+      slots: 100,
+      connections: 500,
+      coldCapacity: 10,
+    })),
+    accounts: [],
+    routes: services.map((service) => ({
+      name: `read-${service}`,
+      service,
+      method: 'GET',
+      path: '/items/*',
+      importance: 'normal',
+      idempotent: true,
+      access: 'open',
+      deadlineMs: 1000,
+      retries: 2,
+    })),
+  };
+}
+
+function callOf(id: number): Call {
+  return {
+    requestId: `server-1-0mxg8v6thcedbe53ad-${id}.1`,
+    rootId: `server-1-0mxg8v6thcedbe53ad-${id}`,
+    rootHash: (id % 997) / 997,
+    caller: { kind: 'account', account: `account-${id % 8}` },
+    service: 'service-1',
+    route: 'read-service-1',
+    importance: 'normal',
+    idempotent: true,
+    depth: 0,
+    retries: 1,
+    deadline: 1e9,
+    startBy: 1e9,
+    fingerprint: `fingerprint-of-the-request-${id}`,
+    method: 'GET',
+    path: '/items/1',
+    headers: [
+      ['accept', 'application/json'],
+      ['user-agent', 'slopes'],
+    ],
+    body: new Uint8Array(200),
+  };
+}
+
+function membershipWith(count: number) {
+  const options = { node: 'service-1-server-1', zone: 'zone-1', seeds: [], random: () => 0.5 };
+  const zones = 15;
+  return Array.from({ length: zones }, (_, at) => `zone-${at}`).reduce((state, zone) => {
+    const hosts = hostsOf(count, zones).filter((host) => host.zone === zone);
+    return decideMembership(state, { kind: 'hosts-listed', zone, hosts }, 0).state;
+  }, initialMembership(options));
+}
+
+function listAgain(count: number): number {
+  const state = [1, 2, 3].reduce(
+    (before, at) =>
+      decideMembership(before, { kind: 'service-wanted', service: `service-${at}` }, 0).state,
+    membershipWith(count),
+  );
+  const hosts = hostsOf(count, 15).filter((host) => host.zone === 'zone-2');
+  return microseconds(() => {
+    decideMembership(state, { kind: 'hosts-listed', zone: 'zone-2', hosts }, 1);
+  });
+}
+
+function changeOneEntry(entries: number): number {
+  const configuration = configurationOf(entries);
+  const reader = new DocumentReader();
+  reader.read(toDocument(configuration));
+  const changed = toDocument({ ...configuration, revision: 2, seats: ['server-1'] });
+  return microseconds(() => {
+    reader.read(changed).map((read) => new Lookup(read));
+  });
+}
+
+function runCalls(count: number): number {
+  return microseconds(() => {
+    const backendServer = {
+      name: 'server-1',
+      service: 'service-1',
+      zone: 'zone-1',
+      slots: 100,
+      connections: 500,
+      coldCapacity: 100,
+    };
+    const outcome = { kind: 'answered', status: 200, headers: [], body: new Uint8Array() } as const;
+    Array.from({ length: count }, (_, at) => callOf(at)).reduce(
+      (state, call, at) => {
+        const arrived = decideGate(state, { kind: 'arrived', call }, at).state;
+        const end = { kind: 'answered', outcome } as const;
+        const { requestId } = call;
+        return decideGate(arrived, { kind: 'ended', requestId, end, ownLatencyMs: 5 }, at).state;
+      },
+      initialAdmissions({ backendServer, state: 'serving', now: 0 }),
+    );
+  });
+}
+
+function codeCalls(count: number): number {
+  return microseconds(() => {
+    Array.from({ length: count }, (_, at) => callOf(at)).forEach((call) => {
+      decodeFrame(encodeFrame({ kind: 'call', call })).unwrapOr(null);
+    });
+  });
+}
+
+const MESSAGES: readonly PeerMessage[] = [
+  {
+    kind: 'ping',
+    sentAt: 123456.789,
+    serviceAgeMs: 1234.5,
+    heads: ['configuration', 'hosts/zone-1', 'hosts/zone-2'].map((name) => ({
+      topic: name as 'configuration',
+      version: 12345,
+      digest: 'a'.repeat(64),
+    })),
+  },
+  { kind: 'pong', echoedSentAt: 123456.789, receivedAt: 123456.789 },
+  { kind: 'draw', drawId: 123456789, account: 'account-12', want: 3, isAhead: true },
+  { kind: 'grant', drawId: 123456789, account: 'account-12', tokens: 3, retryAfterMs: 0 },
+  { kind: 'settlement', drawId: 123456789, account: 'account-12', spent: 2, returned: 1 },
+  {
+    kind: 'delta',
+    delta: {
+      topic: 'configuration',
+      fromDigest: 'a'.repeat(64),
+      version: 12345,
+      digest: 'b'.repeat(64),
+      changed: new Map([['accounts/account-12', JSON.stringify(configurationOf(100).routes[0])]]),
+      removed: [],
+    },
+  },
+  { kind: 'call', call: callOf(1) },
+];
+
+function measure(): readonly Slope[] {
+  return [
+    slope('apply a change of one entry, per entry', 'µs', [1000, 9000], changeOneEntry),
+    slope('memory of the configuration, per entry', 'bytes', [1000, 9000], (entries) =>
+      heapBytes(() => {
+        const document = toDocument(configurationOf(entries));
+        const reader = new DocumentReader();
+        return [document, reader, reader.read(document).map((read) => new Lookup(read))];
+      }),
+    ),
+    slope('take over a host list, per host of the fleet', 'µs', [1000, 7400], listAgain),
+    slope('memory of the host list, per host', 'bytes', [1000, 7400], (count) =>
+      heapBytes(() => membershipWith(count)),
+    ),
+    slope('rank by rendezvous, per name', 'µs', [100, 1000], (count) => {
+      const names = hostsOf(count, 1).map(({ backendServer }) => backendServer);
+      return microseconds(() => {
+        rankByRendezvous('key', names);
+      });
+    }),
+    slope('gate decisions, per call', 'µs', [1000, 5000], runCalls),
+    slope('encode and decode a call, per call', 'µs', [1000, 5000], codeCalls),
+  ];
+}
+
+function print(slopes: readonly Slope[]): void {
+  slopes.forEach(({ name, unit, perUnit, sizes, costs }) => {
+    const points = sizes.map((size, at) => `${size}: ${costs[at]?.toFixed(0)}`).join(', ');
+    console.log(`${name}: ${perUnit.toFixed(3)} ${unit} (${points})`);
+  });
+  MESSAGES.forEach((message) => {
+    console.log(`bytes of ${message.kind}: ${encodeFrame(message).length}`);
+  });
+}
+
+const slopes = measure();
+print(slopes);
+await writeFile(RESULT_FILE, `${JSON.stringify({ slopes }, null, 2)}\n`);
--- a/src/runtime/configuration-task.ts
+++ b/src/runtime/configuration-task.ts
@@ -1,5 +1,7 @@
-import { fromDocument } from '../core/configuration/document.js';
+import { ok, type Result } from 'neverthrow';
+import { DocumentReader } from '../core/configuration/document.js';
 import { Lookup } from '../core/configuration/lookup.js';
+import type { Fault } from '../core/errors/fault.js';
 import type { Identity } from '../core/membership/handshake.js';
 import type { BackendServer, Configuration } from '../core/model/configuration.js';
 import type { Document } from '../core/model/document.js';
@@ -26,6 +28,11 @@
 export class ConfigurationTask {
   readonly #options: ConfigurationTaskOptions;
 
+  readonly #reader = new DocumentReader();
+
+  /** The last document that passed its check, so that it is not read twice. */
+  #checked: { readonly digest: string; readonly configuration: Configuration } | null = null;
+
   #lookup: Lookup | null = null;
 
   #gate: GateTask | null = null;
@@ -54,16 +61,30 @@
     return this.#gate;
   }
 
+  /**
+   * Checks a document before it is put into force.
+   *
+   * @param document - the document; host lists always pass, since they are only hints
+   * @returns nothing, or all faults at once
+   */
+  check(document: Document): Result<void, readonly Fault[]> {
+    if (document.topic !== 'configuration') return ok();
+    return this.#reader.read(document).map((configuration) => {
+      this.#checked = { digest: document.digest, configuration };
+      return undefined;
+    });
+  }
+
   /**
    * Puts a document into force as a whole.
    *
    * @param document - a document that passed its check
    */
   apply(document: Document): void {
-    if (document.topic === 'configuration') {
-      fromDocument(document).map((configuration) => this.#applyConfiguration(configuration));
-    } else {
+    if (document.topic !== 'configuration') {
       this.#applyHosts(document, document.topic.slice(HOSTS_PREFIX.length));
+    } else if (this.#checked?.digest === document.digest) {
+      this.#applyConfiguration(this.#checked.configuration);
     }
   }
 
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -255,6 +255,7 @@
       report: this.#report,
       random: Math.random,
       send: this.#sendToPeer,
+      check: (document) => this.#configuration.check(document),
       apply: (document) => this.#configuration.apply(document),
       ready: () => {
         this.#isReady = true;
--- a/src/runtime/spread-task.ts
+++ b/src/runtime/spread-task.ts
@@ -1,5 +1,4 @@
-import { ok, type Result } from 'neverthrow';
-import { fromDocument } from '../core/configuration/document.js';
+import type { Result } from 'neverthrow';
 import { formatFault, type Fault } from '../core/errors/fault.js';
 import type { Log } from '../core/logs/log-entry.js';
 import type { Identity } from '../core/membership/handshake.js';
@@ -31,6 +30,7 @@
   readonly report: Report;
   readonly random: () => number;
   readonly send: (peer: BackendServerName, message: PeerMessage) => boolean;
+  readonly check: (document: Document) => Result<void, readonly Fault[]>;
   readonly apply: (document: Document) => void;
   readonly ready: () => void;
   /** The configuration service answered. */
@@ -39,10 +39,6 @@
 
 const TICK_INTERVAL_MS = 100;
 
-function check(document: Document): Result<void, readonly Fault[]> {
-  return document.topic === 'configuration' ? fromDocument(document).map(() => undefined) : ok();
-}
-
 /** Owner of the documents in force and of the client of the configuration service. */
 export class SpreadTask {
   readonly #options: SpreadTaskOptions;
@@ -58,7 +54,7 @@
    */
   constructor(options: SpreadTaskOptions) {
     this.#options = options;
-    const { identity, random, clock, urls } = options;
+    const { identity, random, clock, urls, check } = options;
     const spreadOptions = { node: identity.node, zone: identity.zone, check, random };
     this.#client = new ServiceClient(urls, (reply) => this.#receive(reply));
     this.#task = new Task({
