--- a/bench/deployment.ts
+++ b/bench/deployment.ts
@@ -82,6 +82,11 @@
     return this.#nodes.entries;
   }
 
+  /** @returns the base URLs of the metrics listeners */
+  get metricsUrls(): readonly string[] {
+    return this.#nodes.metrics;
+  }
+
   /** @returns the backend servers */
   get servers(): readonly Server[] {
     return this.#servers;
