--- a/src/core/pipeline/next-attempt.ts
+++ b/src/core/pipeline/next-attempt.ts
@@ -22,6 +22,8 @@
   readonly call: Call;
   readonly backendServer: BackendServerName;
   readonly attempt: Attempt;
+  /** 1 for the first send of the call. */
+  readonly number: number;
   /** Extra sends that are left for this call. */
   readonly retriesLeft: number;
   readonly now: Instant;
@@ -41,8 +43,19 @@
 ]);
 
 /** Another gate cannot help when the refusal is about the call and not about the gate. */
-function isWorthAnotherGate(code: CodeName): boolean {
-  return code !== 'quarantined' && code !== 'deadlineUnreachable' && code !== 'cancelled';
+function isWorthAnotherGate(code: CodeName, number: number): boolean {
+  switch (code) {
+    case 'quarantined':
+    case 'deadlineUnreachable':
+    case 'cancelled':
+      return false;
+    case 'overloaded':
+      // Gates compare the same root hash with their fractions, so when two of them refuse, the
+      // service is overloaded and not one gate; in a trial a third of all sends were such repeats.
+      return number === 1;
+    default:
+      return true;
+  }
 }
 
 function outcomeOf(attempt: Attempt): Outcome {
@@ -56,10 +69,10 @@
   }
 }
 
-function mayRunAgain(call: Call, outcome: Outcome): boolean {
+function mayRunAgain(call: Call, outcome: Outcome, number: number): boolean {
   switch (outcome.kind) {
     case 'refused':
-      return isWorthAnotherGate(outcome.code);
+      return isWorthAnotherGate(outcome.code, number);
     case 'failed':
       return call.idempotent && !FINAL_FAILURES.has(outcome.code);
     case 'answered':
@@ -76,10 +89,10 @@
  * @returns to finish with an outcome, or to send again without the backend server just tried
  */
 export function nextAttempt(review: AttemptReview): NextAttempt {
-  const { call, attempt, retriesLeft, now } = review;
+  const { call, attempt, number, retriesLeft, now } = review;
   const outcome = outcomeOf(attempt);
   const hasTime = now + MIN_ATTEMPT_MS < call.deadline;
-  if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome)) {
+  if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome, number)) {
     return { kind: 'send-again', excluded: review.backendServer };
   }
   return { kind: 'finish', outcome };
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -330,6 +330,7 @@
       crashes: this.#crashes,
       orders: this.#orders,
       gate: () => this.#configuration.gate,
+      clock: this.#clock,
       metrics: this.#metrics,
       log: this.#log,
     });
--- a/src/runtime/peer-router.ts
+++ b/src/runtime/peer-router.ts
@@ -5,7 +5,9 @@
 } from '../core/membership/incarnations.js';
 import type { Identity } from '../core/membership/handshake.js';
 import type { Call } from '../core/model/call.js';
+import type { BackendServerName } from '../core/model/names.js';
 import type { PeerMessage, SeatIncarnation } from '../core/model/peer-message.js';
+import type { Clock } from '../core/model/time.js';
 import type { CrashTask } from './crash-task.js';
 import type { CreditTask } from './credit-task.js';
 import type { GateTask } from './gate-task.js';
@@ -26,16 +28,21 @@
   readonly credit: CreditTask;
   readonly crashes: CrashTask;
   readonly orders: OrderTask;
+  readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: Log;
   /** The gate, or null before the first configuration. */
   readonly gate: () => GateTask | null;
 }
 
+const HEAR_INTERVAL_MS = 200;
+
 /** Hands each message of a peer to the task that owns the state it is about. */
 export class PeerRouter {
   readonly #options: PeerRouterOptions;
 
+  readonly #heardAt = new Map<string, number>();
+
   #incarnations: Incarnations = NO_INCARNATIONS;
 
   /**
@@ -92,6 +99,7 @@
 
   #closed({ node }: Identity): void {
     const { membership, credit, metrics, links } = this.#options;
+    [true, false].forEach((isUse) => this.#heardAt.delete(`${node} ${isUse}`));
     membership.send({ kind: 'link-closed', peer: node });
     credit.seatLost(node);
     metrics.links.set(links.peers.length);
@@ -121,8 +129,7 @@
   #receive(peer: Identity, message: PeerMessage, link: PeerLink): void {
     const { membership, spread, credit, crashes, orders, gate } = this.#options;
     const { node } = peer;
-    const isUse = message.kind === 'call' || message.kind === 'order-call';
-    membership.send({ kind: 'frame-received', peer: node, isUse });
+    this.#hear(node, message.kind === 'call' || message.kind === 'order-call');
     switch (message.kind) {
       case 'ping':
         credit.tellHolder({ kind: 'zone-heard', zone: peer.zone });
@@ -179,6 +186,16 @@
     }
   }
 
+  /** Tells membership of a sign of life; one every now and then says as much as each of them. */
+  #hear(peer: BackendServerName, isUse: boolean): void {
+    const { clock, membership } = this.#options;
+    const now = clock.now();
+    const key = `${peer} ${isUse}`;
+    if (now - (this.#heardAt.get(key) ?? -HEAR_INTERVAL_MS) < HEAR_INTERVAL_MS) return;
+    this.#heardAt.set(key, now);
+    membership.send({ kind: 'frame-received', peer, isUse });
+  }
+
   #load() {
     return (
       this.#options.gate()?.load ?? { state: 'serving' as const, running: 0, queued: 0, limit: 0 }
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -128,7 +128,9 @@
   ): Promise<Placed> {
     const { clock, metrics } = this.#options;
     const retriesLeft = call.retries - progress.retriesSpent;
-    const next = nextAttempt({ call, backendServer, attempt, retriesLeft, now: clock.now() });
+    const { number } = progress;
+    const now = clock.now();
+    const next = nextAttempt({ call, backendServer, attempt, number, retriesLeft, now });
     switch (next.kind) {
       case 'finish':
         return {
