Warm up slow servers by a call a round and show the gate's limit

A server with 9 calls/s took over 5 s from 3 to 6 calls at a time, and calm callers were refused meanwhile. The gauges of the gate and of the service age were never set.

--- a/src/core/admission/warm-up.ts
+++ b/src/core/admission/warm-up.ts
@@ -2,7 +2,11 @@
 import type { RouteName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 
-/** Each success raises the warm-up limit by this much, about 10% for each round of calls. */
+/**
+ * Each success raises the warm-up limit by this much, 10% for each round of calls. A limit below
+ * 10 grows by one call for each round; with 10%, a server with 9 calls/s took over 5 s to bear
+ * them, and callers inside their rate were refused meanwhile.
+ */
 const GROWTH_PER_SUCCESS = 0.1;
 
 /** Each refusal or lost connection undoes ten successes, so that the ramp stops at 9% of them. */
@@ -163,7 +167,7 @@
   const isKnown = warmUp.usualMs.has(route) || warmUp.usualMs.size < ROUTES_MAX;
   return {
     ...warmUp,
-    limit: Math.min(warmUp.slots, warmUp.limit + GROWTH_PER_SUCCESS),
+    limit: Math.min(warmUp.slots, warmUp.limit + Math.max(GROWTH_PER_SUCCESS, 1 / warmUp.limit)),
     usualMs: isKnown
       ? warmUp.usualMs.set(route, usual + (sample - usual) * USUAL_LATENCY_SHARE)
       : warmUp.usualMs,
--- a/src/runtime/gate-task.ts
+++ b/src/runtime/gate-task.ts
@@ -107,7 +107,7 @@
       clock,
       onEvent: (event) => this.#receive(event),
     });
-    this.#ticker = setInterval(() => this.#task.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+    this.#ticker = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
   }
 
   /** @returns the load as the gate sees it */
@@ -174,6 +174,16 @@
     await this.#client.close(isOrderly);
   }
 
+  #tick(): void {
+    this.#task.send({ kind: 'tick' });
+    const { metrics } = this.#options;
+    const { running, queued, limit } = this.load;
+    metrics.gateCalls.set({ state: 'running' }, running);
+    metrics.gateCalls.set({ state: 'queued' }, queued);
+    metrics.gateLimit.set(limit);
+    metrics.gateAllocating.set(this.#task.state.fractions.isAllocating ? 1 : 0);
+  }
+
   #perform(effect: GateEffect): void {
     switch (effect.kind) {
       case 'dispatch':
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -77,6 +77,12 @@
     [],
   );
 
+  readonly gateAllocating = this.#gauge(
+    'almondhoist_gate_allocating',
+    '1 while the gate divides its capacity because its queue is too long, 0 otherwise',
+    [],
+  );
+
   readonly links = this.#gauge('almondhoist_links', 'Open links to other nodes', []);
 
   readonly documentVersion = this.#gauge(
--- a/src/runtime/spread-task.ts
+++ b/src/runtime/spread-task.ts
@@ -63,7 +63,10 @@
       clock,
       perform: (effect) => this.#perform(effect),
     });
-    this.#ticker = setInterval(() => this.send({ kind: 'tick' }), TICK_INTERVAL_MS);
+    this.#ticker = setInterval(() => {
+      this.send({ kind: 'tick' });
+      this.#options.metrics.serviceAge.set(this.heartbeat.serviceAgeMs / 1000);
+    }, TICK_INTERVAL_MS);
   }
 
   /** @returns what the next heartbeat tells peers */
