--- a/src/runtime/link-table.ts
+++ b/src/runtime/link-table.ts
@@ -7,6 +7,7 @@
 import type { PeerMessage } from '../core/model/peer-message.js';
 import type { Clock } from '../core/model/time.js';
 import type { Attempt } from '../core/pipeline/next-attempt.js';
+import type { CountBytes } from './peer-socket.js';
 import type { TlsMaterial } from './tls-material.js';
 import { PeerLink, type HeartbeatContent, type LinkEvent } from './peer-link.js';
 
@@ -23,6 +24,7 @@
   readonly tls: TlsMaterial | null;
   readonly maxFrameBytes: number;
   readonly clock: Clock;
+  readonly countBytes: CountBytes;
   readonly heartbeat: () => HeartbeatContent;
   readonly onEvent: (event: TableEvent) => void;
 }
@@ -165,7 +167,7 @@
   }
 
   #add(socket: WebSocket, target: Target | null): void {
-    const { identity, secret, clock, heartbeat } = this.#options;
+    const { identity, secret, clock, countBytes, heartbeat } = this.#options;
     const link = new PeerLink({
       socket,
       role: target === null ? 'listener' : 'opener',
@@ -173,6 +175,7 @@
       identity,
       secret,
       clock,
+      countBytes,
       heartbeat,
       onEvent: (event, source) => this.#receive(event, source, target),
     });
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -121,6 +121,8 @@
       tls,
       maxFrameBytes: maxBodyBytes + FRAME_OVERHEAD_BYTES,
       clock: this.#clock,
+      countBytes: (direction, purpose, bytes) =>
+        this.#metrics.peerBytes.inc({ direction, purpose }, bytes),
       heartbeat: () => this.#spread.heartbeat,
       onEvent: (event) => this.#router.receiveTableEvent(event),
     });
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -16,7 +16,7 @@
 import type { Attempt } from '../core/pipeline/next-attempt.js';
 import { Task } from '../core/task/task.js';
 import { OutstandingCalls } from './outstanding-calls.js';
-import { PeerSocket, type SocketEvent } from './peer-socket.js';
+import { PeerSocket, type CountBytes, type SocketEvent } from './peer-socket.js';
 
 /** What a heartbeat tells the peer besides the time. */
 export interface HeartbeatContent {
@@ -45,6 +45,7 @@
   readonly identity: Identity;
   readonly secret: string;
   readonly clock: Clock;
+  readonly countBytes: CountBytes;
   readonly heartbeat: () => HeartbeatContent;
   readonly onEvent: (event: LinkEvent, link: PeerLink) => void;
 }
@@ -82,9 +83,9 @@
       perform: (effect) => this.#perform(effect),
     });
     this.#ticker = setInterval(() => this.#health.send({ kind: 'tick' }), TICK_INTERVAL_MS);
-    const { socket, identity, secret, role } = options;
+    const { socket, identity, secret, role, countBytes } = options;
     this.#socket = new PeerSocket(
-      { socket, identity, secret, onEvent: (event) => this.#receive(event) },
+      { socket, identity, secret, countBytes, onEvent: (event) => this.#receive(event) },
       role,
     );
   }
--- a/src/runtime/peer-socket.ts
+++ b/src/runtime/peer-socket.ts
@@ -22,11 +22,19 @@
   | { readonly kind: 'unproven'; readonly reason: string }
   | { readonly kind: 'closed' };
 
+/** Whether a frame carries a call or its answer, or anything else. */
+export type Purpose = 'call' | 'control';
+
+/** Counter of bytes by direction and purpose. */
+export type CountBytes = (direction: 'in' | 'out', purpose: Purpose, bytes: number) => void;
+
 /** What both ends of a socket need. */
 export interface PeerSocketOptions {
   readonly socket: WebSocket;
   readonly identity: Identity;
   readonly secret: string;
+  /** Counts the bytes of a frame, so that the cost of control can be told from that of calls. */
+  readonly countBytes: CountBytes;
   readonly onEvent: (event: SocketEvent) => void;
 }
 
@@ -50,6 +58,18 @@
   return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
 }
 
+function purposeOf(frame: Frame): Purpose {
+  switch (frame.kind) {
+    case 'call':
+    case 'order-call':
+    case 'answer':
+    case 'cancel':
+      return 'call';
+    default:
+      return 'control';
+  }
+}
+
 function isHandshake(frame: Frame): frame is HandshakeMessage {
   return frame.kind === 'hello' || frame.kind === 'challenge' || frame.kind === 'proof';
 }
@@ -88,7 +108,9 @@
   send(message: PeerMessage): boolean {
     const { socket } = this.#options;
     if (this.#stage.kind !== 'open' || socket.readyState !== socket.OPEN) return false;
-    socket.send(encodeFrame(message));
+    const bytes = encodeFrame(message);
+    this.#options.countBytes('out', purposeOf(message), bytes.length);
+    socket.send(bytes);
     return true;
   }
 
@@ -116,7 +138,10 @@
 
   #receive(data: Uint8Array): void {
     decodeFrame(data).match(
-      (frame) => this.#handle(frame),
+      (frame) => {
+        this.#options.countBytes('in', purposeOf(frame), data.length);
+        this.#handle(frame);
+      },
       (reason) => this.#options.onEvent({ kind: 'frame-invalid', reason }),
     );
   }
