--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,5 +1,6 @@
-import { writeFile } from 'node:fs/promises';
+import { mkdir, writeFile } from 'node:fs/promises';
 import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { DocumentReader, toDocument } from '../src/core/configuration/document.js';
 import { Lookup } from '../src/core/configuration/lookup.js';
 import { decideGate } from '../src/core/admission/gate.js';
@@ -10,6 +11,9 @@
 import type { Host } from '../src/core/model/host.js';
 import type { PeerMessage } from '../src/core/model/peer-message.js';
 import { rankByRendezvous } from '../src/core/routing/rendezvous.js';
+import { Deployment } from './deployment.js';
+import { fetchText } from './child.js';
+import { KELPIE } from './topology.js';
 import { decodeFrame, encodeFrame } from '../src/runtime/frame-codec.js';
 
 /** One measured line: cost at two sizes, and the difference for one more unit. */
@@ -22,6 +26,9 @@
 }
 
 const REPEATS = 7;
+/** The seats of a new mesh grant after 6 s; until then a node is busier than later. */
+const SETTLE_MS = 8000;
+const IDLE_MS = 10_000;
 const RESULT_FILE = 'bench/results/slopes.json';
 
 function median(values: readonly number[]): number {
@@ -243,6 +250,50 @@
   ];
 }
 
+interface Sample {
+  readonly cpuS: number;
+  readonly controlBytes: number;
+  readonly links: number;
+  readonly residentBytes: number;
+}
+
+async function sampleNode(url: string): Promise<Sample> {
+  const text = await fetchText(`${url}/metrics`);
+  const sum = (pattern: RegExp): number =>
+    [...text.matchAll(pattern)].reduce((total, [, value]) => total + Number(value), 0);
+  return {
+    cpuS: sum(/^process_cpu_seconds_total (\S+)/gm),
+    controlBytes: sum(/^almondhoist_peer_bytes_total\{[^}]*purpose="control"[^}]*\} (\S+)/gm),
+    links: sum(/^almondhoist_links (\S+)/gm),
+    residentBytes: sum(/^process_resident_memory_bytes (\S+)/gm),
+  };
+}
+
+/** Cost of control of one node of an idle mesh, averaged over its nodes. */
+async function idleMesh(zones: number): Promise<Sample> {
+  const topology = { ...KELPIE, zones: KELPIE.zones.slice(0, zones) };
+  const deployment = new Deployment(topology, 'almondhoist', 1);
+  try {
+    await deployment.start();
+    await sleep(SETTLE_MS);
+    const before = await Promise.all(deployment.metricsUrls.map(sampleNode));
+    await sleep(IDLE_MS);
+    const after = await Promise.all(deployment.metricsUrls.map(sampleNode));
+    const mean = (pick: (sample: Sample) => number, samples: readonly Sample[]): number =>
+      samples.reduce((total, sample) => total + pick(sample), 0) / samples.length;
+    const growth = (pick: (sample: Sample) => number): number =>
+      ((mean(pick, after) - mean(pick, before)) * 1000) / IDLE_MS;
+    return {
+      cpuS: growth(({ cpuS }) => cpuS),
+      controlBytes: growth(({ controlBytes }) => controlBytes),
+      links: mean(({ links }) => links, after),
+      residentBytes: mean(({ residentBytes }) => residentBytes, after),
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
 function print(slopes: readonly Slope[]): void {
   slopes.forEach(({ name, unit, perUnit, sizes, costs }) => {
     const points = sizes.map((size, at) => `${size}: ${costs[at]?.toFixed(0)}`).join(', ');
@@ -255,4 +306,13 @@
 
 const slopes = measure();
 print(slopes);
-await writeFile(RESULT_FILE, `${JSON.stringify({ slopes }, null, 2)}\n`);
+const idle = [await idleMesh(2), await idleMesh(3)];
+idle.forEach(({ cpuS, controlBytes, links, residentBytes }) => {
+  console.log(
+    `idle node with ${links.toFixed(1)} links: ${(cpuS * 100).toFixed(2)}% of a core, ` +
+      `${controlBytes.toFixed(0)} control bytes/s both ways, ` +
+      `${(residentBytes / 1_048_576).toFixed(0)} MiB resident`,
+  );
+});
+await mkdir('bench/results', { recursive: true });
+await writeFile(RESULT_FILE, `${JSON.stringify({ slopes, idle }, null, 2)}\n`);
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -150,12 +150,12 @@
 
 async function plannedStop(): Promise<Finding> {
   const stopped = deployment.servers.findIndex(({ name }) => name === 'planner-clyde-a');
-  const others = deployment.entries.map((_, at) => at).filter((at) => at !== stopped);
+  const entries = deployment.entries.map((_, at) => at).filter((at) => at !== stopped);
   const answers: Promise<string>[] = [];
   const endMs = performance.now() + STOP_LOAD_MS;
   const stop = sleep(STOP_LOAD_MS / 3).then(() => deployment.stopNode('planner-clyde-a'));
   while (performance.now() < endMs) {
-    const entry = others[answers.length % others.length] ?? 0;
+    const entry = entries[answers.length % entries.length] ?? 0;
     const check = { method: 'POST', path: '/planner/plans/check', key: account(0).key, entry };
     const body = JSON.stringify({ order: answers.length });
     answers.push(call({ ...check, body }).then(codeOf, () => 'cut off'));
@@ -165,12 +165,12 @@
   const exitCode = await stop;
   const bad = statuses.filter((status) => !status.startsWith('200'));
   const good = statuses.length - bad.length;
+  const others = bad.length === 0 ? '' : `; others: ${bad.join('; ')}`;
   return {
     holds: good === statuses.length && exitCode === 0,
     text:
       `a planned stop of the node beside planner-clyde-a under load: ${good} of ` +
-      `${statuses.length} plan checks answered with 200, exit code ${exitCode}` +
-      `${bad.length === 0 ? '' : `; others: ${bad.join('; ')}`}`,
+      `${statuses.length} plan checks answered with 200, exit code ${exitCode}${others}`,
   };
 }
 
