Add the command explain

Cause: the decision log of a request is spread over the logs of several nodes and cannot be read as a whole. Change: src/core/explain parses, selects, orders and describes the lines of one root request; the command reads files or standard input. An unknown request ends with code 1012 and exit code 3.

--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,72 @@
+import { readFile } from 'node:fs/promises';
+import { command, positional, restPositionals, string } from 'cmd-ts';
+import { ResultAsync } from 'neverthrow';
+import type { Fault } from '../core/errors/fault.js';
+import { explain, type Explanation } from '../core/explain/explain.js';
+import { exitCodes, type ExitCode } from './exit-code.js';
+import { printFaults, type Terminal } from './terminal.js';
+
+function unreadable(file: string, error: unknown): Fault {
+  const reason = error instanceof Error ? error.message : String(error);
+  return { code: 'fileUnreadable', details: { file, reason }, source: file, place: '' };
+}
+
+function readLogs(
+  files: readonly string[],
+  terminal: Terminal,
+): ResultAsync<readonly string[], readonly Fault[]> {
+  if (files.length === 0) {
+    return ResultAsync.fromPromise(terminal.readInput(), (error) => [
+      unreadable('standard input', error),
+    ]).map((text) => [text]);
+  }
+  return ResultAsync.combineWithAllErrors(
+    files.map((file) =>
+      ResultAsync.fromPromise(readFile(file, 'utf8'), (error) => unreadable(file, error)),
+    ),
+  );
+}
+
+function skippedText(skipped: number): string {
+  return `${skipped} ${skipped === 1 ? 'line' : 'lines'} skipped: not JSON or not a log line of almondhoist`;
+}
+
+function printExplanation(terminal: Terminal, { text, skipped }: Explanation): ExitCode {
+  text.forEach((line) => terminal.print(line));
+  if (skipped > 0) terminal.print(skippedText(skipped));
+  return exitCodes.success;
+}
+
+/**
+ * Builds `explain REQUEST-ID [FILES...]`.
+ *
+ * @param terminal - where the command reads and prints
+ * @returns the command
+ */
+export function explainCommand(terminal: Terminal) {
+  return command({
+    name: 'explain',
+    description: 'Say what became of a request and why, from the logs of the nodes.',
+    args: {
+      requestId: positional({ type: string, displayName: 'REQUEST-ID' }),
+      files: restPositionals({
+        type: string,
+        displayName: 'FILES',
+        description: 'log files of the nodes; standard input without any',
+      }),
+    },
+    handler: ({ requestId, files }): Promise<ExitCode> =>
+      readLogs(files, terminal)
+        .andThen((texts) =>
+          explain(texts, requestId).mapErr(({ read, skipped }): readonly Fault[] => {
+            const source = files.length === 0 ? 'standard input' : files.join(', ');
+            const details = { request: requestId, read, skipped };
+            return [{ code: 'requestNotLogged', details, source, place: '' }];
+          }),
+        )
+        .match<ExitCode>(
+          (explanation) => printExplanation(terminal, explanation),
+          (faults) => printFaults(terminal, faults),
+        ),
+  });
+}
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -4,6 +4,7 @@
 import { checkCommand } from './check-command.js';
 import { diffCommand } from './diff-command.js';
 import { exitCodes, type ExitCode } from './exit-code.js';
+import { explainCommand } from './explain-command.js';
 import { hashKeyCommand } from './hash-key-command.js';
 import { nodeCommand } from './node-command.js';
 import type { Terminal } from './terminal.js';
@@ -14,13 +15,13 @@
     name: 'almondhoist',
     version: VERSION,
     description: 'Overload control layer for service call graphs.',
-    // The command `explain` joins here.
     cmds: {
       node: nodeCommand(terminal),
       check: checkCommand(terminal),
       bundle: bundleCommand(terminal),
       diff: diffCommand(terminal),
       'hash-key': hashKeyCommand(terminal),
+      explain: explainCommand(terminal),
     },
   });
 }
--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -92,6 +92,13 @@
     message: 'cannot write {file}: {reason}',
     hint: 'Check the path and the free space.',
   },
+  requestNotLogged: {
+    number: 1012,
+    title: 'Request not in the log',
+    message:
+      'no line is about request {request}; {read} lines were read and {skipped} others skipped',
+    hint: 'Check the identifier (header almondhoist-request-id) and give the logs of all nodes.',
+  },
   addressInUse: {
     number: 1101,
     title: 'Address cannot be used',
--- /dev/null
+++ b/src/core/explain/select-lines.ts
@@ -0,0 +1,79 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { LogEntry } from '../logs/log-entry.js';
+import type { RequestId } from '../model/names.js';
+import type { LogLine } from './log-line.js';
+
+/** An entry about one call. */
+export type CallEntry = Exclude<LogEntry, { readonly kind: 'event' | 'violation' }>;
+
+/** All lines that belong to one root request. */
+export interface SelectedLines {
+  readonly rootId: RequestId;
+  readonly calls: readonly LogLine<CallEntry>[];
+  /** Failed assertions whose text names a call of the request. */
+  readonly violations: readonly LogLine<Extract<LogEntry, { readonly kind: 'violation' }>>[];
+}
+
+/**
+ * Finds the call that a send belongs to. Sends are named after their call with `.N` behind it.
+ *
+ * @param id - identifier of a call or of a send
+ * @returns identifier of the call
+ */
+export function callIdOf(id: RequestId): RequestId {
+  return id.replace(/\.\d+$/, '');
+}
+
+function callLine(line: LogLine): readonly LogLine<CallEntry>[] {
+  const { entry } = line;
+  switch (entry.kind) {
+    case 'event':
+    case 'violation':
+      return [];
+    case 'refusal':
+    case 'placement':
+    case 'routing':
+    case 'dispatch':
+    case 'gate-answer':
+    case 'entry-answer':
+      return [{ ...line, entry }];
+  }
+}
+
+function violationLine(line: LogLine): SelectedLines['violations'] {
+  return line.entry.kind === 'violation' ? [{ ...line, entry: line.entry }] : [];
+}
+
+/** A refusal tells no root identifier, since a filter refuses before the call exists. */
+function rootIdOf(entry: CallEntry): RequestId {
+  return entry.kind === 'refusal' ? entry.requestId : entry.rootId;
+}
+
+/** Identifiers consist of letters, digits and hyphens, so a longer one is another identifier. */
+function namesCall(detail: string, ids: ReadonlySet<RequestId>): boolean {
+  return detail.split(/[^\w.-]+/).some((word) => ids.has(callIdOf(word)));
+}
+
+/**
+ * Selects the lines that share the root request of a call.
+ *
+ * @param lines - lines of several nodes
+ * @param requestId - identifier of a root request, of a deeper call, or of a send
+ * @returns the lines, or nothing when no line is about the request
+ */
+export function selectLines(
+  lines: readonly LogLine[],
+  requestId: RequestId,
+): Result<SelectedLines, 'requestNotLogged'> {
+  const all = lines.flatMap(callLine);
+  const callId = callIdOf(requestId);
+  const known = all.find(({ entry }) => callIdOf(entry.requestId) === callId);
+  if (known === undefined) return err('requestNotLogged');
+  const rootId = rootIdOf(known.entry);
+  const calls = all.filter(({ entry }) => rootIdOf(entry) === rootId);
+  const ids = new Set(calls.map(({ entry }) => callIdOf(entry.requestId)));
+  const violations = lines
+    .flatMap(violationLine)
+    .filter((line) => namesCall(line.entry.detail, ids));
+  return ok({ rootId, calls, violations });
+}
--- a/test/cli/run.test.ts
+++ b/test/cli/run.test.ts
@@ -71,6 +71,20 @@
   assert.equal(hashLine, `hash: ${hashKey(generated)}`);
 });
 
+test('explain reads files or the standard input and exits with 3 for an unknown request', async () => {
+  // Guards against scripts that take a missing request for an explained one.
+  const file = 'test/fixtures/explain/planner-1.log';
+  const fromFile = await runWith(['explain', 'planner-1-aa-2', file]);
+  const fromInput = await runWith(['explain', 'planner-1-aa-2'], await readFile(file, 'utf8'));
+  assert.deepEqual([fromFile.code, fromInput.code], [0, 0]);
+  assert.deepEqual(fromFile.printed, fromInput.printed);
+  assert.match(fromFile.printed.at(-1) ?? '', /^2 lines skipped/);
+  const unknown = await runWith(['explain', 'planner-1-aa-9', file]);
+  assert.deepEqual([unknown.code, unknown.printed], [3, []]);
+  assert.match(unknown.errors[0] ?? '', /\[1012\] no line is about request planner-1-aa-9;/);
+  assert.equal((await runWith(['explain', 'planner-1-aa-2', join(directory, 'absent')])).code, 3);
+});
+
 test('wrong usage exits with 2, help and version with 0', async () => {
   // Guards against scripts that take a misspelt command for success.
   const cases = [[], ['chek'], ['check'], ['bundle', 'examples/co-op'], ['check', 'a', '--no']];
--- /dev/null
+++ b/test/core/explain/explain.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { readdir, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { pathToFileURL } from 'node:url';
+import { promisify } from 'node:util';
+import { explain } from '../../../src/core/explain/explain.js';
+import { parseLog } from '../../../src/core/explain/log-line.js';
+import type { LogEntry } from '../../../src/core/logs/log-entry.js';
+import { valueOf } from '../../results.js';
+
+const FIXTURES = 'test/fixtures/explain';
+const names = (await readdir(FIXTURES)).sort();
+const texts = await Promise.all(names.map((name) => readFile(join(FIXTURES, name), 'utf8')));
+const ORDER = 'planner-1-aa-1';
+const DEEPER = 'orderdesk-3-bb-5';
+
+test('an order over several nodes is told in order, with the deeper call below its run', () => {
+  // Guards against lines of other nodes that are lost or told out of order.
+  const { text, skipped } = valueOf(explain(texts, ORDER));
+  const page = text.join('\n');
+  const expected = [
+    `root request ${ORDER} at node planner-1: account paisley-upholstery, service orderdesk`,
+    'order sent to its home orderdesk-1: [5005]',
+    'attempt 1 from clyde-a: chose orderdesk-2: [5004]',
+    'candidate orderdesk-2 in clyde-b: 12 running and queued, limit 60',
+    'candidate orderdesk-3 in clyde-c: load unknown',
+    'gate of orderdesk-2 answered: [2104] Backend server overloaded, refused at the gate',
+    'hint: Wait for the time in retry-after.',
+    'attempt 2 from clyde-a: chose orderdesk-3: [5006]',
+    'dispatched to backend server orderdesk-3',
+    `    deeper call ${DEEPER} at node orderdesk-3: account paisley-upholstery, service planner`,
+    'dispatched to backend server planner-3',
+    'backend server planner-3 answered with status 200',
+    'answered with status 200 after 5 ms: [0] Success',
+    'backend server orderdesk-3 answered with status 201',
+    'answered with status 201 after 16 ms: [0] Success',
+    'outcome: a backend server ran the request and its answer was returned',
+  ];
+  const places = expected.map((part, index) =>
+    page.indexOf(part, index === 0 ? 0 : page.indexOf(expected[index - 1] ?? '')),
+  );
+  assert.deepEqual(
+    expected.filter((_part, index) => (places[index] ?? -1) < 0),
+    [],
+    page,
+  );
+  assert.deepEqual(
+    places,
+    [...places].sort((left, right) => left - right),
+    page,
+  );
+  assert.equal(skipped, 2);
+});
+
+test('the order of the files and the clock of a gate do not change the structure', () => {
+  // Guards against a gate's lines that stand elsewhere because its clock is behind.
+  const forward = valueOf(explain(texts, ORDER)).text;
+  assert.deepEqual(valueOf(explain([...texts].reverse(), ORDER)).text, forward);
+  const late = texts.map((text, index) =>
+    names[index] === 'planner-3.log'
+      ? text.replaceAll('"time": 17963817070', '"time": 17963817060')
+      : text,
+  );
+  assert.notDeepEqual(late, texts);
+  const withoutTimes = (lines: readonly string[]) =>
+    lines.map((line) => line.replace(/^ *-?\d+ ms/, '').trim());
+  const skewed = valueOf(explain(late, ORDER)).text;
+  assert.deepEqual(withoutTimes(skewed), withoutTimes(forward));
+});
+
+test('sends and deeper calls lead to their root request', () => {
+  // Guards against an identifier from a backend server's log that explains nothing.
+  const whole = valueOf(explain(texts, ORDER)).text;
+  [`${ORDER}.2`, DEEPER, `${DEEPER}.1`].forEach((id) => {
+    const [first, ...rest] = valueOf(explain(texts, id)).text;
+    assert.equal(first, `${id} belongs to the root request ${ORDER}`);
+    assert.deepEqual(rest, whole);
+  });
+});
+
+test('a refusal by a filter names its code and its hint', () => {
+  // Guards against a refused request that looks as if nothing were known of it.
+  const page = valueOf(explain(texts, 'planner-1-aa-2')).text.join('\n');
+  assert.match(page, /refused by a filter of the entry: \[2101\] Rate exceeded/);
+  assert.match(page, /retry after 40 ms/);
+  assert.match(page, /outcome: this request did not run \(\[2101\]/);
+});
+
+test('a gate without a log and a broken promise are told', () => {
+  // Guards against a missing log that is mistaken for a call that was never sent.
+  const page = valueOf(explain(texts, 'planner-1-aa-3')).text.join('\n');
+  assert.match(page, /a caller without a key, service stockroom/);
+  assert.match(page, /no line of stockroom-9 about this attempt/);
+  assert.match(page, /broken promise not-run: planner-1-aa-3\.1 was refused/);
+  assert.match(page, /outcome: the request may have run \(\[3005\]/);
+});
+
+test('a request that no line is about is not explained', () => {
+  // Guards against a longer identifier that is taken for a shorter one.
+  const explained = explain(texts, 'planner-1-aa');
+  assert.ok(explained.isErr());
+  assert.equal(explained.error.skipped, 2);
+  assert.equal(explained.error.read, parseLog(texts).lines.length);
+});
+
+const subject = {
+  requestId: 'a-1',
+  rootId: 'a-1',
+  caller: { kind: 'anonymous' },
+  service: 's',
+} as const;
+
+const entries: { readonly [Kind in LogEntry['kind']]: Extract<LogEntry, { kind: Kind }> } = {
+  routing: {
+    kind: 'routing',
+    ...subject,
+    zone: 'z',
+    attempt: 1,
+    candidates: [{ backendServer: 'b', zone: 'z', busy: null, limit: null }],
+    choice: null,
+    code: 'noBackendServer',
+  },
+  placement: { kind: 'placement', ...subject, orderId: 'o', home: 'b', code: 'chosenHome' },
+  dispatch: { kind: 'dispatch', ...subject, backendServer: 'b' },
+  'gate-answer': { kind: 'gate-answer', ...subject, backendServer: 'b', code: 'ok', status: 200 },
+  refusal: { kind: 'refusal', requestId: 'a-1', code: 'keyMissing', retryAfterMs: 0 },
+  'entry-answer': { kind: 'entry-answer', ...subject, code: 'ok', status: 200, durationMs: 1.5 },
+  event: { kind: 'event', code: 'nodeStopped', details: { open: 0 } },
+  violation: { kind: 'violation', promise: 'not-run', detail: 'a-1' },
+};
+
+test('every line that a node writes can be read again', async () => {
+  // Guards against a log format that changes without its reader.
+  const written = Object.values(entries);
+  const log = pathToFileURL('dist/js/src/runtime/roarr-log.js').href;
+  const program = `import { openLog } from ${JSON.stringify(log)};
+    const log = openLog('node-1');
+    ${JSON.stringify(written)}.forEach((entry) => log.write(entry));
+    log.flush();`;
+  const { stdout } = await promisify(execFile)(process.execPath, [
+    '--input-type=module',
+    '--eval',
+    program,
+  ]);
+  const { lines, skipped } = parseLog([stdout]);
+  assert.equal(skipped, 0, stdout);
+  assert.deepEqual(
+    lines.map(({ entry }) => entry),
+    written,
+  );
+  assert.ok(lines.every(({ node }) => node === 'node-1'));
+});
