--- /dev/null
+++ b/test/runtime/protocol-page.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+import { test } from 'node:test';
+import type { Frame } from '../../src/runtime/frame-codec.js';
+
+/** The compiler refuses this table when a kind is missing or gone. */
+const kinds: Readonly<Record<Frame['kind'], true>> = {
+  hello: true,
+  challenge: true,
+  proof: true,
+  ping: true,
+  pong: true,
+  call: true,
+  'order-call': true,
+  answer: true,
+  cancel: true,
+  announce: true,
+  pull: true,
+  delta: true,
+  document: true,
+  draw: true,
+  grant: true,
+  settlement: true,
+  marks: true,
+  incarnations: true,
+  leaving: true,
+};
+
+test('the protocol page has a row for every kind of peer message, and for no other', async () => {
+  // Guards against a message that another implementation cannot know of.
+  const page = await readFile('docs/protocol.md', 'utf8');
+  const section = page.slice(page.indexOf('## 3. Between nodes'));
+  const rows = [...section.matchAll(/^\| `([\w-]+)`/gm)].map(([, kind]) => kind);
+  assert.deepEqual(rows.sort(), Object.keys(kinds).sort());
+});
+
+test('the protocol page names every header that the entry sets', async () => {
+  // Guards against a header that callers meet and cannot look up.
+  const page = await readFile('docs/protocol.md', 'utf8');
+  const listener = await readFile('src/runtime/caller-listener.ts', 'utf8');
+  const set = [...listener.matchAll(/'((?:almondhoist-|retry-)[\w-]+)'/g)].map(([, name]) => name);
+  assert.ok(set.length > 0);
+  assert.deepEqual(
+    set.filter((name) => !page.includes(`| \`${name ?? ''}\``)),
+    [],
+  );
+});
