Place deeper calls by the runs of their node

Cause: no test covered several open runs or a missing maker, and a refusal was called a root request, which its line does not tell.

--- a/src/core/explain/describe.ts
+++ b/src/core/explain/describe.ts
@@ -124,6 +124,14 @@
   ];
 }
 
+/** A refusal does not tell whether the request was a root request or a deeper call. */
+function nameOfRoot(root: ExplainedCall): string {
+  const isRefused = root.happenings.every(
+    (happening) => happening.kind === 'line' && happening.line.entry.kind === 'refusal',
+  );
+  return isRefused ? 'request' : 'root request';
+}
+
 function lastCode(root: ExplainedCall): CodeName | null {
   const codes = root.happenings.flatMap((happening): readonly CodeName[] => {
     if (happening.kind !== 'line') return [];
@@ -171,7 +179,7 @@
     ...(asked === rootId ? [] : [`${asked} belongs to the root request ${rootId}`]),
     ...(root === null
       ? [`root request ${rootId}: no line of its entry`]
-      : describeCall(root, 'root request', start)),
+      : describeCall(root, nameOfRoot(root), start)),
     ...orphans.flatMap((call) => indent(describeCall(call, 'deeper call of unknown maker', start))),
     ...violations.map((line) => describeViolation(line, start)),
     ...(root === null ? [] : [describeOutcome(root)]),
--- a/test/core/explain/explain.test.ts
+++ b/test/core/explain/explain.test.ts
@@ -5,8 +5,10 @@
 import { test } from 'node:test';
 import { pathToFileURL } from 'node:url';
 import { promisify } from 'node:util';
+import { orderCalls } from '../../../src/core/explain/call-tree.js';
 import { explain } from '../../../src/core/explain/explain.js';
-import { parseLog } from '../../../src/core/explain/log-line.js';
+import { parseLog, type LogLine } from '../../../src/core/explain/log-line.js';
+import type { CallEntry } from '../../../src/core/explain/select-lines.js';
 import type { LogEntry } from '../../../src/core/logs/log-entry.js';
 import { valueOf } from '../../results.js';
 
@@ -83,6 +85,10 @@
 test('a refusal by a filter names its code and its hint', () => {
   // Guards against a refused request that looks as if nothing were known of it.
   const page = valueOf(explain(texts, 'planner-1-aa-2')).text.join('\n');
+  assert.match(
+    page,
+    /^request planner-1-aa-2 at node planner-1: account and service are not in the log/,
+  );
   assert.match(page, /refused by a filter of the entry: \[2101\] Rate exceeded/);
   assert.match(page, /retry after 40 ms/);
   assert.match(page, /outcome: this request did not run \(\[2101\]/);
@@ -97,6 +103,46 @@
   assert.match(page, /outcome: the request may have run \(\[3005\]/);
 });
 
+test('a deeper call is placed below a run of its node that was open when it came in', () => {
+  // Guards against a call below a run that had ended, and against a guess that looks certain.
+  const call = { rootId: 'a-1', caller: { kind: 'anonymous' }, service: 's' } as const;
+  const line = (time: number, entry: CallEntry) => ({ node: 'b-1', time, sequence: time, entry });
+  const start = (time: number, requestId: string) =>
+    line(time, { kind: 'dispatch', ...call, requestId, backendServer: 'b-1' });
+  const end = (time: number, requestId: string) =>
+    line(time, {
+      kind: 'gate-answer',
+      ...call,
+      requestId,
+      backendServer: 'b-1',
+      code: 'ok',
+      status: 200,
+    });
+  const deeper = line(5, {
+    kind: 'entry-answer',
+    ...call,
+    requestId: 'b-2',
+    code: 'ok',
+    status: 200,
+    durationMs: 1,
+  });
+  const below = (lines: readonly LogLine<CallEntry>[]) => {
+    const { root, orphans } = orderCalls({ rootId: 'a-1', calls: lines, violations: [] });
+    const calls = (root?.happenings ?? []).flatMap((happening) =>
+      happening.kind === 'call' ? [happening.call] : [],
+    );
+    return {
+      unsure: calls.map(({ isParentUnsure }) => isParentUnsure),
+      orphans: orphans.map(({ requestId }) => requestId),
+    };
+  };
+  const open = [start(1, 'a-1.1'), end(9, 'a-1.1'), deeper];
+  assert.deepEqual(below(open), { unsure: [false], orphans: [] });
+  assert.deepEqual(below([...open, start(2, 'a-1.2')]), { unsure: [true], orphans: [] });
+  const over = [start(1, 'a-1.1'), end(4, 'a-1.1'), deeper];
+  assert.deepEqual(below(over), { unsure: [], orphans: ['b-2'] });
+});
+
 test('a request that no line is about is not explained', () => {
   // Guards against a longer identifier that is taken for a shorter one.
   const explained = explain(texts, 'planner-1-aa');
