Refuse too large requests like any other request

Cause: the 413 was built in the listener: it said "not run" also for a request with an order identifier, of which an earlier request may have run through a node with a larger max_body_bytes, and it left no log line, so that explain could not find it. Change: the entry refuses it; the answer has a request identifier and a message, and no "not run" beside an order identifier.

--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -17,6 +17,8 @@
   readonly maxBodyBytes: number;
   readonly newRequestId: () => RequestId;
   readonly handle: (request: RawRequest) => Promise<EntryReply>;
+  /** Refuses a request whose body is not read to its end. */
+  readonly refuseTooLarge: (request: RawRequest) => EntryReply;
   /** Issues an order identifier to the caller of the request. */
   readonly issueOrder: (request: RawRequest) => EntryReply;
   /** The caller closed its connection before the answer. */
@@ -111,7 +113,7 @@
     const body = await readBody(context, maxBodyBytes);
     switch (body.kind) {
       case 'too-large':
-        return this.#refuseTooLarge();
+        return this.#refuseTooLarge(context);
       case 'read': {
         const request = this.#rawRequest(context, body.bytes);
         const { outgoing } = context.env;
@@ -128,18 +130,9 @@
     return toResponse(reply, this.#options.isStopping());
   }
 
-  #refuseTooLarge(): Response {
-    const { number, title, hint, httpStatus } = resultCode('requestTooLarge');
-    return Response.json(
-      { code: number, title, hint },
-      {
-        status: httpStatus ?? 413,
-        headers: {
-          'almondhoist-code': String(number),
-          'almondhoist-not-run': 'true',
-          connection: 'close',
-        },
-      },
-    );
+  /** The rest of the body is not read, so the connection cannot carry another request. */
+  #refuseTooLarge(context: CallerContext): Response {
+    const reply = this.#options.refuseTooLarge(this.#rawRequest(context, new Uint8Array()));
+    return toResponse(reply, true);
   }
 }
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -8,7 +8,7 @@
 import { ContextHandles } from '../core/pipeline/context-handle.js';
 import { accept } from '../core/pipeline/accept.js';
 import { authenticate } from '../core/pipeline/authenticate.js';
-import type { RawRequest } from '../core/pipeline/exchange.js';
+import { refusal, type RawRequest } from '../core/pipeline/exchange.js';
 import type { Attempt } from '../core/pipeline/next-attempt.js';
 import { prepare, type EntryView } from '../core/pipeline/prepare.js';
 import { reportAll } from '../core/promises/report.js';
@@ -335,6 +335,7 @@
       maxBodyBytes: this.#settings.maxBodyBytes,
       newRequestId: () => this.#ids.next(),
       handle: (request) => this.#entry.handle(request),
+      refuseTooLarge: (request) => this.#entry.refuse(request, refusal('requestTooLarge')),
       issueOrder: (request) => this.#issueOrder(request),
       abandoned: (requestId) => this.#entry.cancel(requestId),
       isStopping: () => this.#isStopping,
@@ -364,9 +365,8 @@
   }
 
   #issueOrder(request: RawRequest): EntryReply {
-    const view = this.#entryView();
     return accept(request)
-      .andThen(authenticate(view))
+      .andThen(authenticate(this.#entryView()))
       .match(
         ({ origin }) => this.#entry.orderReply(request, origin),
         (refused) => this.#entry.refuse(request, refused),
