--- a/src/core/membership/link-health.ts
+++ b/src/core/membership/link-health.ts
@@ -15,6 +15,12 @@
  */
 const REGULAR_PING_INTERVAL_MS = 1500;
 
+/**
+ * The side that was pinged last waits longer, or both ends of an idle link would ping in the same
+ * tick, which doubled the heartbeats of an idle mesh.
+ */
+const SECOND_FACTOR = 1.4;
+
 /** A tick later than this means that the own process was paused; the peer is not to blame. */
 const LATE_TICK_MS = 250;
 
@@ -53,6 +59,8 @@
 export interface LinkHealth {
   readonly lastReceivedAt: Instant;
   readonly lastPingAt: Instant;
+  /** Instant of the last ping of the peer. */
+  readonly lastPingedAt: Instant;
   readonly lastTickAt: Instant;
   readonly outstanding: number;
   /** Since when an answer has been awaited without any frame; null when none is. */
@@ -65,6 +73,7 @@
 export const initialLinkHealth: LinkHealth = {
   lastReceivedAt: 0,
   lastPingAt: 0,
+  lastPingedAt: 0,
   lastTickAt: 0,
   outstanding: 0,
   unansweredSince: null,
@@ -108,7 +117,9 @@
   }
   // A call that was cancelled keeps the short interval until a frame has cleared the doubt.
   const intervalMs = unansweredSince === null ? IDLE_HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
-  const isQuiet = now - lastReceivedAt >= intervalMs && now - lastPingAt >= intervalMs;
+  const isPeerFirst = state.lastPingedAt > lastPingAt;
+  const quietMs = isPeerFirst ? intervalMs * SECOND_FACTOR : intervalMs;
+  const isQuiet = now - lastReceivedAt >= quietMs && now - lastPingAt >= quietMs;
   if (!isQuiet && now - lastPingAt < REGULAR_PING_INTERVAL_MS) return step(state);
   return step({ ...state, lastPingAt: now }, { kind: 'send-ping', sentAt: now });
 }
@@ -136,7 +147,7 @@
     case 'frame-received':
       return step(receive(state, now));
     case 'ping-received':
-      return step(learnOffset(receive(state, now), message.sentAt, now), {
+      return step(learnOffset({ ...receive(state, now), lastPingedAt: now }, message.sentAt, now), {
         kind: 'send-pong',
         echoedSentAt: message.sentAt,
         receivedAt: now,
--- a/src/runtime/membership-task.ts
+++ b/src/runtime/membership-task.ts
@@ -29,7 +29,7 @@
   readonly hostsChanged: (hosts: readonly Host[]) => void;
 }
 
-const TICK_INTERVAL_MS = 100;
+const TICK_INTERVAL_MS = 200;
 
 /** Candidates of a service are asked for again after this time, which keeps its links open. */
 const WANT_INTERVAL_MS = 5000;
--- a/src/runtime/spread-task.ts
+++ b/src/runtime/spread-task.ts
@@ -63,16 +63,15 @@
       clock,
       perform: (effect) => this.#perform(effect),
     });
-    this.#ticker = setInterval(() => {
-      this.send({ kind: 'tick' });
-      this.#options.metrics.serviceAge.set(this.heartbeat.serviceAgeMs / 1000);
-    }, TICK_INTERVAL_MS);
+    this.#ticker = setInterval(() => this.send({ kind: 'tick' }), TICK_INTERVAL_MS);
   }
 
   /** @returns what the next heartbeat tells peers */
   get heartbeat(): HeartbeatContent {
-    const now = this.#options.clock.now();
-    return { heads: heads(this.#task.state), serviceAgeMs: serviceAgeMs(this.#task.state, now) };
+    const { clock, metrics } = this.#options;
+    const ageMs = serviceAgeMs(this.#task.state, clock.now());
+    metrics.serviceAge.set(ageMs / 1000);
+    return { heads: heads(this.#task.state), serviceAgeMs: ageMs };
   }
 
   /**
