Find more tokens at hand with fewer messages

Cause: entries with 2 to 4 requests/s of an account drew for each request; a draw ahead that was granted in part paused draws ahead for 100 ms; and stocks for 100 ms, drawn anew at a half, cost many small draws.

Change: accounts with a burst of at least 24 have a stock from 2 requests/s on, a draw ahead pauses further ones only when it brought nothing, and stocks cover 150 ms and are drawn anew at a third. The calm test also checks the limit of 6 KB/s for control traffic.

--- a/src/core/credit/purse.ts
+++ b/src/core/credit/purse.ts
@@ -56,8 +56,9 @@
   readonly seats: readonly BackendServerName[];
   /** Seats of a pool are always asked in order, since the first one up has the shares of all. */
   readonly isPooled: boolean;
-  /** Rate of the account over all entries. */
+  /** Rate and burst of the account over all entries. */
   readonly ratePerSecond: number;
+  readonly burst: number;
   readonly nextSeat: number;
   readonly views: Map<BackendServerName, SeatView>;
   readonly grants: OrderedMap<number, HeldGrant>;
@@ -70,27 +71,22 @@
 }
 
 /** What a purse takes from the configuration. */
-export type AccountSeats = Pick<Purse, 'seats' | 'isPooled' | 'ratePerSecond'>;
+export type AccountSeats = Pick<Purse, 'seats' | 'isPooled' | 'ratePerSecond' | 'burst'>;
 
 const FRESH_VIEW: SeatView = { askAgainAt: 0, tokenAt: 0, shortfalls: 0 };
 
 /**
  * Makes an empty purse.
  *
- * @param account - the account's seats and rate
+ * @param account - the account's seats, rate and burst
  * @param offset - where this entry starts to ask, so that entries spread over the seats
  * @param now - the present instant
  * @returns the purse
  */
-export function emptyPurse(
-  { seats, isPooled, ratePerSecond }: AccountSeats,
-  offset: number,
-  now: Instant,
-): Purse {
+export function emptyPurse(account: AccountSeats, offset: number, now: Instant): Purse {
+  const { seats, isPooled } = account;
   return {
-    seats,
-    isPooled,
-    ratePerSecond,
+    ...account,
     nextSeat: seats.length === 0 || isPooled ? 0 : offset % seats.length,
     views: Map(),
     grants: OrderedMap(),
--- a/src/core/credit/wallet.ts
+++ b/src/core/credit/wallet.ts
@@ -35,18 +35,36 @@
 export const SPEND_LIMIT_MS = 300;
 
 /** Demand that a stock covers; a token lives twice as long from the sending of its draw. */
-const STOCK_MS = 100;
+const STOCK_MS = 150;
+
+/**
+ * Part of the stock at which it is drawn anew. With 150 ms and a third in place of 100 ms and
+ * a half, an entry of the calm fleet saw 36.9 in place of 47.2 messages per second.
+ */
+const STOCK_LOW = 1 / 3;
+
+/** Stock drawn with a request that waits, smaller since it takes tokens that others may need. */
+const WAITING_STOCK_MS = 50;
 
 /** With less demand most tokens drawn ahead would expire; each spend then draws its own token. */
 const STOCK_DEMAND_PER_SECOND = 4;
 
+/** The same where the burst is large enough for one spare token at many entries. */
+const LARGE_STOCK_DEMAND_PER_SECOND = 2;
+
+/**
+ * With the lower demand for all accounts, rate 30 and burst 12 saw 0.39% to 0.50% wrongful
+ * refusals, with this limit 0.25%.
+ */
+const LARGE_BURST = 24;
+
 /** Time without draws ahead after a holder had nothing to spare. */
 const AHEAD_PAUSE_MS = 100;
 
 /** An account without spends for this time is forgotten. */
 const IDLE_MS = 10_000;
 
-const NO_SEATS: AccountSeats = { seats: [], isPooled: false, ratePerSecond: 0 };
+const NO_SEATS: AccountSeats = { seats: [], isPooled: false, ratePerSecond: 0, burst: 0 };
 
 /** State of the wallet of one entry. */
 export interface Wallet {
@@ -208,7 +226,7 @@
   // After one seat has refused, the others are asked together to keep the wait short.
   const asked = isRefused ? askable : askable.slice(0, 1);
   const demand = demandPerSecond(purse, now);
-  const stock = Math.floor((demand * STOCK_MS) / 2000 / asked.length);
+  const stock = Math.floor((demand * WAITING_STOCK_MS) / 1000 / asked.length);
   const want = uncovered + stock;
   // Missing stock alone pauses nobody inside the rate: with such pauses, rate 60 and burst 24 saw
   // 104 of 13018 requests refused, without them 32. An entry that asks for more than the whole
@@ -224,7 +242,8 @@
 /** Stock for the demand; none when tokens drawn ahead would mostly expire. */
 function stockTarget(purse: Purse, now: Instant): number {
   const demand = demandPerSecond(purse, now);
-  return demand < STOCK_DEMAND_PER_SECOND ? 0 : Math.ceil((demand * STOCK_MS) / 1000) + 1;
+  const least = purse.burst < LARGE_BURST ? STOCK_DEMAND_PER_SECOND : LARGE_STOCK_DEMAND_PER_SECOND;
+  return demand < least ? 0 : Math.ceil((demand * STOCK_MS) / 1000) + 1;
 }
 
 function stockUp(wallet: Wallet, account: AccountName, now: Instant): WalletStep {
@@ -233,7 +252,7 @@
   if (wallet.isStopping || target === 0 || purse.aheadAgainAt > now) return step(wallet);
   const stock = lastingTokens(purse, now) + tokensUnderWay(purse, now) - purse.waiting.size;
   const [seat] = askableSeats(purse, now);
-  if (seat === undefined || stock > target / 2) return step(wallet);
+  if (seat === undefined || stock > target * STOCK_LOW) return step(wallet);
   const draw = { seat, want: target - stock, need: 0, isAhead: true };
   return sendDraw(wallet, account, draw, now);
 }
@@ -294,7 +313,7 @@
   if (purse === undefined || draw === undefined || draw.seat !== seat) return step(wallet);
   const isShort = tokens < (draw.isAhead ? draw.want : draw.need);
   const answered = draw.isAhead
-    ? { ...purse, aheadAgainAt: isShort ? now + AHEAD_PAUSE_MS : purse.aheadAgainAt }
+    ? { ...purse, aheadAgainAt: tokens === 0 ? now + AHEAD_PAUSE_MS : purse.aheadAgainAt }
     : noteAnswers(purse, seat, grant, draw.need, now);
   const held = { drawId, seat, tokens, spent: 0, expiresAt: draw.sentAt + GRANT_LIFETIME_MS };
   const grants = tokens > 0 ? answered.grants.set(drawId, held) : answered.grants;
@@ -332,6 +351,7 @@
         seats: splitOverSeats(account, configuration.seats).map((share) => share.seat),
         isPooled: isPooled(account),
         ratePerSecond: account.ratePerSecond,
+        burst: account.burst,
       },
     ]),
   );
--- a/test/core/credit/fleet.test.ts
+++ b/test/core/credit/fleet.test.ts
@@ -194,6 +194,13 @@
       fleet.at(at, () => fleet.spend(Math.floor(fleet.random() ** 3 * 17), name));
     }
   });
+  fleet.at(12_000, () => {
+    fleet.messages = 0;
+  });
+  fleet.run(72_000);
+  // Guards the limit of 6 KB/s for all control traffic of a node; a message takes about 60 bytes.
+  const bytesPerSecond = (fleet.messages * 60) / 60 / 17;
+  assert.ok(bytesPerSecond < 6000, `${bytesPerSecond} bytes/s for each entry`);
   fleet.run(73_000);
   accounts.forEach(({ name }) => {
     const answers = fleet.answers.filter((answer) => answer.account === name);
@@ -226,12 +233,14 @@
   assert.ok(Math.min(...parts) >= total / 8, parts.join(' '));
 });
 
-test('random arrivals inside the rate are refused no more than by one central bucket', () => {
-  // Guards the wrongful-refusal target (0.5% in calm) with Poisson arrivals at 90% of the rate;
-  // what one bucket with the whole rate and burst refuses as well is not wrongful.
+/**
+ * Sends Poisson arrivals at 90% of the rate and returns the accounts that miss the target of 0.5%;
+ * what one bucket with the whole rate and burst refuses as well is not wrongful.
+ */
+function wronglyRefused(seed: number, served: typeof accounts): readonly string[] {
   const link = { maxDelayMs: 1, drop: 0, duplicate: 0 };
-  const fleet = new Fleet({ seed: 7, entries: 17, accounts, link });
-  const central = accounts.map(({ name, ratePerSecond, burst }) => {
+  const fleet = new Fleet({ seed, entries: 17, accounts: served, link });
+  const central = served.map(({ name, ratePerSecond, burst }) => {
     let free = burst;
     let refused = 0;
     let gapMs = 0;
@@ -245,13 +254,25 @@
     return refused;
   });
   fleet.run(73_000);
-  const wrongful = accounts.flatMap(({ name }, place) => {
+  const wrongful = served.flatMap(({ name }, place) => {
     const answers = fleet.answers.filter((answer) => answer.account === name);
     const refused = answers.filter(({ isAdmitted }) => !isAdmitted).length;
     const excess = refused - (central[place] ?? 0);
     return excess >= 0.005 * answers.length ? [`${name}: ${excess} of ${answers.length}`] : [];
   });
-  assert.deepEqual(wrongful, []);
+  assert.deepEqual(fleet.violations, []);
+  return wrongful;
+}
+
+test('random arrivals inside the rate are refused no more than by one central bucket', () => {
+  // Guards the wrongful-refusal target (0.5% in calm) against seats that lose refill.
+  assert.deepEqual(wronglyRefused(7, accounts), []);
+});
+
+test('a draw that covers its request but not the stock pauses nobody inside the rate', () => {
+  // Guards the wrongful-refusal target: such pauses refused 0.74% at rate 60 and burst 24.
+  const served = [account('medium', 60, 24), account('wide', 100, 50)];
+  assert.deepEqual(wronglyRefused(7, served), []);
 });
 
 test('an account with a small burst keeps the shares of the other seats when one is lost', () => {
