--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -209,7 +209,14 @@
   },
   { kind: 'pong', echoedSentAt: 123456.789, receivedAt: 123456.789 },
   { kind: 'draw', drawId: 123456789, account: 'account-12', want: 3, isAhead: true },
-  { kind: 'grant', drawId: 123456789, account: 'account-12', tokens: 3, retryAfterMs: 0 },
+  {
+    kind: 'grant',
+    drawId: 123456789,
+    account: 'account-12',
+    tokens: 3,
+    retryAfterMs: 0,
+    isFinal: false,
+  },
   { kind: 'settlement', drawId: 123456789, account: 'account-12', spent: 2, returned: 1 },
   {
     kind: 'delta',
--- a/test/runtime/protocol-page.test.ts
+++ b/test/runtime/protocol-page.test.ts
@@ -21,6 +21,8 @@
   draw: true,
   grant: true,
   settlement: true,
+  'loan-request': true,
+  loan: true,
   marks: true,
   incarnations: true,
   leaving: true,
