--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -31,11 +31,15 @@
 
 const MAX_HEADER_BYTES = 32_768;
 const MAX_REQUESTS_PER_SOCKET = 0;
+const NO_BODY = new Uint8Array();
 
 type Body = { readonly kind: 'read'; readonly bytes: Uint8Array } | { readonly kind: 'too-large' };
 
 async function readBody(context: CallerContext, maxBytes: number): Promise<Body> {
   const { incoming } = context.env;
+  const { headers } = incoming;
+  const hasBody = 'content-length' in headers || 'transfer-encoding' in headers;
+  if (!hasBody) return { kind: 'read', bytes: NO_BODY };
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of incoming as AsyncIterable<Buffer>) {
