--- a/src/runtime/configuration-task.ts
+++ b/src/runtime/configuration-task.ts
@@ -39,9 +39,12 @@
 
   #isZoneOut = false;
 
-  /** The host list says that the own host is leaving, or the configuration no longer names it. */
+  /** The host list says that the own host is leaving. */
   #isLeaving = false;
 
+  /** The configuration in force does not name the own backend server. */
+  #isUnlisted = false;
+
   #isStopping = false;
 
   /**
@@ -105,7 +108,7 @@
     const backendServer = lookup.backendServer(identity.node);
     if (backendServer !== null) this.#configureGate(backendServer, configuration);
     this.#isZoneOut = lookup.zone(identity.zone)?.state === 'out';
-    this.#isLeaving = backendServer === null;
+    this.#isUnlisted = backendServer === null;
     this.#updateGateState();
   }
 
@@ -130,7 +133,7 @@
   }
 
   #gateState(): GateState {
-    if (this.#isStopping || this.#isLeaving) return 'leaving';
+    if (this.#isStopping || this.#isLeaving || this.#isUnlisted) return 'leaving';
     return this.#isZoneOut ? 'zone-out' : 'serving';
   }
 }
