Build the calls of root and deeper requests in one place

Both filters listed the same eleven fields, and two modules had their own comparison in constant time.

--- a/src/core/membership/handshake.ts
+++ b/src/core/membership/handshake.ts
@@ -1,5 +1,6 @@
-import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createHmac } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
+import { isEqualSecret } from '../model/equal-secret.js';
 import type { BackendServerName, Incarnation, ZoneName } from '../model/names.js';
 
 /** Version of the peer protocol; nodes with another version are refused. */
@@ -59,12 +60,6 @@
   return createHmac('sha256', secret).update(text).digest('base64url');
 }
 
-function isEqual(left: string, right: string): boolean {
-  const a = Buffer.from(left);
-  const b = Buffer.from(right);
-  return a.length === b.length && timingSafeEqual(a, b);
-}
-
 /** State of the listener between its challenge and the opener's proof. */
 export interface Challenged {
   readonly challenge: Challenge;
@@ -115,7 +110,7 @@
     listener: challenge.identity,
     listenerNonce: challenge.nonce,
   };
-  return isEqual(challenge.proof, proofOf('listener', transcript, secret))
+  return isEqualSecret(challenge.proof, proofOf('listener', transcript, secret))
     ? ok({ kind: 'proof', proof: proofOf('opener', transcript, secret) })
     : err('the listener does not know the secret of the fleet');
 }
@@ -132,7 +127,7 @@
   readonly secret: string;
 }): Result<Identity, string> {
   const { challenged, proof, secret } = options;
-  return isEqual(proof.proof, proofOf('opener', challenged.transcript, secret))
+  return isEqualSecret(proof.proof, proofOf('opener', challenged.transcript, secret))
     ? ok(challenged.transcript.opener)
     : err('the opener does not know the secret of the fleet');
 }
--- a/src/core/pipeline/admit-nested.ts
+++ b/src/core/pipeline/admit-nested.ts
@@ -2,6 +2,7 @@
 import type { Call } from '../model/call.js';
 import type { RequestId } from '../model/names.js';
 import type { Inheritance } from '../retry/run-message.js';
+import { callOf } from './call-of.js';
 import { refusal, type Classified, type Prepared, type Refusal } from './exchange.js';
 
 /** What the admission of deeper calls needs to ask of the node. */
@@ -16,28 +17,10 @@
 }
 
 function nestedCall(request: Classified, inheritance: Inheritance): Call {
-  const { route } = request;
-  const deadline = Math.min(inheritance.deadline, request.receivedAt + route.deadlineMs);
-  return {
-    requestId: request.requestId,
-    rootId: inheritance.rootId,
-    rootHash: inheritance.rootHash,
-    caller: inheritance.caller,
-    service: route.service,
-    route: route.name,
-    // The whole call tree has the importance of its root, so that it shares one fate.
-    importance: inheritance.importance,
-    idempotent: route.idempotent,
-    depth: inheritance.depth,
-    retries: inheritance.retries,
-    deadline,
-    startBy: deadline,
-    fingerprint: request.fingerprint,
-    method: request.method,
-    path: request.path + request.query,
-    headers: request.headers,
-    body: request.body,
-  };
+  const { rootId, rootHash, caller, importance, depth, retries } = inheritance;
+  const deadline = Math.min(inheritance.deadline, request.receivedAt + request.route.deadlineMs);
+  // The whole call tree has the importance of its root, so that it shares one fate.
+  return callOf(request, { rootId, rootHash, caller, importance, depth, retries, deadline });
 }
 
 /**
--- a/src/core/pipeline/admit-root.ts
+++ b/src/core/pipeline/admit-root.ts
@@ -2,6 +2,7 @@
 import type { Call, Caller } from '../model/call.js';
 import type { Route } from '../model/configuration.js';
 import type { AccountName, RequestId } from '../model/names.js';
+import { callOf } from './call-of.js';
 import { refusal, type Classified, type Prepared, type Refusal } from './exchange.js';
 import { rootHash } from './root-hash.js';
 
@@ -82,27 +83,16 @@
 }
 
 function rootCall({ request, caller, hash }: Root): Call {
-  const { route, receivedAt } = request;
-  const deadline = receivedAt + route.deadlineMs;
-  return {
-    requestId: request.requestId,
-    rootId: request.requestId,
+  const { route, receivedAt, requestId } = request;
+  return callOf(request, {
+    rootId: requestId,
     rootHash: hash,
     caller,
-    service: route.service,
-    route: route.name,
     importance: route.importance,
-    idempotent: route.idempotent,
     depth: 0,
     retries: route.retries,
-    deadline,
-    startBy: deadline,
-    fingerprint: request.fingerprint,
-    method: request.method,
-    path: request.path + request.query,
-    headers: request.headers,
-    body: request.body,
-  };
+    deadline: receivedAt + route.deadlineMs,
+  });
 }
 
 /**
--- /dev/null
+++ b/src/core/pipeline/call-of.ts
@@ -0,0 +1,32 @@
+import type { Call } from '../model/call.js';
+import type { Classified } from './exchange.js';
+
+/** What a call has from its root request, or from the running call that makes it. */
+export type Lineage = Pick<
+  Call,
+  'rootId' | 'rootHash' | 'caller' | 'importance' | 'depth' | 'retries' | 'deadline'
+>;
+
+/**
+ * Builds the call of a request.
+ *
+ * @param request - the request with its route
+ * @param lineage - what it has from its root or its parent
+ * @returns the call, which may be started until its deadline
+ */
+export function callOf(request: Classified, lineage: Lineage): Call {
+  const { route, requestId, fingerprint, method, path, query, headers, body } = request;
+  return {
+    ...lineage,
+    requestId,
+    service: route.service,
+    route: route.name,
+    idempotent: route.idempotent,
+    startBy: lineage.deadline,
+    fingerprint,
+    method,
+    path: path + query,
+    headers,
+    body,
+  };
+}
--- a/src/core/pipeline/context-handle.ts
+++ b/src/core/pipeline/context-handle.ts
@@ -1,12 +1,7 @@
-import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createHmac } from 'node:crypto';
+import { isEqualSecret } from '../model/equal-secret.js';
 import type { RequestId } from '../model/names.js';
 
-function isEqual(left: string, right: string): boolean {
-  const a = Buffer.from(left);
-  const b = Buffer.from(right);
-  return a.length === b.length && timingSafeEqual(a, b);
-}
-
 /**
  * Issues and verifies the handles that name a running call. The key is made at the start of the
  * process and never leaves it, so a handle of another node or of an earlier run is refused.
@@ -41,7 +36,7 @@
   verify(handle: string): RequestId | null {
     const [rootId, runId, mac, ...rest] = handle.split('~');
     if (rootId === undefined || runId === undefined || mac === undefined) return null;
-    return rest.length === 0 && isEqual(mac, this.#sign(rootId, runId)) ? runId : null;
+    return rest.length === 0 && isEqualSecret(mac, this.#sign(rootId, runId)) ? runId : null;
   }
 
   #sign(rootId: RequestId, runId: RequestId): string {
