Run nodes over replaceable surroundings and keep "not run" true

Cause: randomised runs need whole nodes in one process without sockets. Change: a node takes an Outside (clock, randomness, log, links, connections to the backend server, probe, configuration service); the real one is the default. Front ends use Node.front. A refusal after a send that may have run ends with the outcome of that send (finalOutcome).

--- a/src/core/pipeline/next-attempt.ts
+++ b/src/core/pipeline/next-attempt.ts
@@ -15,13 +15,19 @@
 /** How sending goes on after an attempt. */
 export type NextAttempt =
   | { readonly kind: 'finish'; readonly outcome: Outcome }
-  | { readonly kind: 'send-again'; readonly excluded: BackendServerName };
+  | {
+      readonly kind: 'send-again';
+      readonly excluded: BackendServerName;
+      readonly mayHaveRun: Outcome | null;
+    };
 
 /** What is known when an attempt has ended. */
 export interface AttemptReview {
   readonly call: Call;
   readonly backendServer: BackendServerName;
   readonly attempt: Attempt;
+  /** Outcome of the last earlier send that may have run; null when none has. */
+  readonly mayHaveRun: Outcome | null;
   /** 1 for the first send of the call. */
   readonly number: number;
   /** Extra sends that are left for this call. */
@@ -80,6 +86,24 @@
   }
 }
 
+/**
+ * Finds what a call ends with. A refusal of the last send says nothing about the sends before
+ * it, so one that may have run takes its place.
+ *
+ * @param last - outcome of the last send
+ * @param mayHaveRun - outcome of the last send that may have run, or null
+ * @returns the outcome of the call as a whole
+ */
+export function finalOutcome(last: Outcome, mayHaveRun: Outcome | null): Outcome {
+  switch (last.kind) {
+    case 'refused':
+      return mayHaveRun ?? last;
+    case 'failed':
+    case 'answered':
+      return last;
+  }
+}
+
 /**
  * Decides whether a call is sent to another gate. A refusal did not run, so any call may go
  * elsewhere; whatever may have run is repeated only when it is idempotent. Each further send
@@ -93,7 +117,8 @@
   const outcome = outcomeOf(attempt);
   const hasTime = now + MIN_ATTEMPT_MS < call.deadline;
   if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome, number)) {
-    return { kind: 'send-again', excluded: review.backendServer };
+    const mayHaveRun = outcome.kind === 'refused' ? review.mayHaveRun : outcome;
+    return { kind: 'send-again', excluded: review.backendServer, mayHaveRun };
   }
-  return { kind: 'finish', outcome };
+  return { kind: 'finish', outcome: finalOutcome(outcome, review.mayHaveRun) };
 }
--- a/src/runtime/backend-client.ts
+++ b/src/runtime/backend-client.ts
@@ -1,22 +1,21 @@
-import { Pool } from 'undici';
 import type { Call, Header } from '../core/model/call.js';
 import type { RequestId } from '../core/model/names.js';
 import { BackendExchange, type BackendExchangeOptions } from './backend-exchange.js';
+import type { BackendPool } from './outside.js';
 
 /** What the client needs. */
 export interface BackendClientOptions extends BackendExchangeOptions {
   readonly url: string;
   /** Connections opened at most; one call runs on one connection. */
   readonly connections: number;
+  readonly openPool: (url: string, connections: number) => BackendPool;
 }
 
-const CONNECT_TIMEOUT_MS = 1000;
-
 /** Owner of the connections to the backend server. */
 export class BackendClient {
   readonly #options: BackendClientOptions;
 
-  readonly #pool: Pool;
+  readonly #pool: BackendPool;
 
   readonly #exchanges = new Map<RequestId, BackendExchange>();
 
@@ -33,15 +32,7 @@
         options.onEvent(event);
       },
     };
-    // One request at a time on a connection: with pipelining, a lost connection would leave
-    // open which of several requests had reached the backend server.
-    this.#pool = new Pool(options.url, {
-      connections: options.connections,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this.#pool = options.openPool(options.url, options.connections);
   }
 
   /**
--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -10,11 +10,8 @@
 import type { EntryReply } from './entry-task.js';
 import type { TlsMaterial } from './tls-material.js';
 
-/** What the listener needs of its node. */
-export interface CallerListenerOptions {
-  readonly clock: Clock;
-  readonly tls: TlsMaterial | null;
-  readonly maxBodyBytes: number;
+/** What a node offers to a front end, whatever protocol that speaks. */
+export interface Front {
   readonly newRequestId: () => RequestId;
   readonly handle: (request: RawRequest) => Promise<EntryReply>;
   /** Refuses a request whose body is not read to its end. */
@@ -23,6 +20,13 @@
   readonly issueOrder: (request: RawRequest) => EntryReply;
   /** The caller closed its connection before the answer. */
   readonly abandoned: (requestId: RequestId) => void;
+}
+
+/** What the listener needs of its node. */
+export interface CallerListenerOptions extends Front {
+  readonly clock: Clock;
+  readonly tls: TlsMaterial | null;
+  readonly maxBodyBytes: number;
   /** @returns whether the node is stopping, so that connections end with their next answer */
   readonly isStopping: () => boolean;
 }
--- a/src/runtime/crash-task.ts
+++ b/src/runtime/crash-task.ts
@@ -6,12 +6,14 @@
   type CrashState,
 } from '../core/crash/crash-watch.js';
 import type { CrashEffect, CrashMessage } from '../core/crash/crash-message.js';
+import type { Identity } from '../core/membership/handshake.js';
 import type { Mark } from '../core/model/mark.js';
 import type { Clock } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 
 /** What the crash watch needs of its node. */
 export interface CrashTaskOptions {
+  readonly identity: Identity;
   readonly clock: Clock;
   readonly spread: (marks: readonly Mark[]) => void;
   readonly quarantined: (fingerprint: string) => void;
@@ -27,6 +29,8 @@
 
   readonly #ticker: NodeJS.Timeout;
 
+  #crashCount = 0;
+
   /**
    * @param options - clock and how marks are spread
    */
@@ -50,6 +54,18 @@
     this.#task.send(message);
   }
 
+  /**
+   * Marks what ran when the own backend server crashed.
+   *
+   * @param fingerprints - fingerprints of the calls that were running
+   */
+  crashed(fingerprints: readonly string[]): void {
+    this.#crashCount += 1;
+    const { node, incarnation } = this.#options.identity;
+    const crashId = `${node}-${incarnation}-${this.#crashCount}`;
+    this.send({ kind: 'crashed', crashId, fingerprints });
+  }
+
   /**
    * @param fingerprint - fingerprint of a call
    * @returns whether equal calls crashed two backend servers
--- a/src/runtime/credit-task.ts
+++ b/src/runtime/credit-task.ts
@@ -1,4 +1,3 @@
-import { randomInt } from 'node:crypto';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type {
   HolderEffect,
@@ -22,6 +21,7 @@
   readonly identity: Identity;
   readonly clock: Clock;
   readonly report: Report;
+  readonly randomInteger: (limit: number) => number;
   /** Sends to another node; false when nothing was sent. */
   readonly send: (peer: BackendServerName, message: PeerMessage) => boolean;
   /** Asks for a link to the holder of a seat. */
@@ -63,7 +63,7 @@
     this.#wallet = new Task({
       initial: initialWallet({
         node: identity.node,
-        firstDrawId: randomInt(1, FIRST_DRAW_ID_LIMIT),
+        firstDrawId: options.randomInteger(FIRST_DRAW_ID_LIMIT),
       }),
       decide: decideWallet,
       clock,
--- a/src/runtime/gate-task.ts
+++ b/src/runtime/gate-task.ts
@@ -13,8 +13,8 @@
 import { Task } from '../core/task/task.js';
 import { BackendClient } from './backend-client.js';
 import type { BackendEvent } from './backend-exchange.js';
-import { probeServer } from './crash-probe.js';
 import type { Metrics } from './metrics.js';
+import type { Outside } from './outside.js';
 import type { RunTask } from './run-task.js';
 
 /** What the gate needs of its node. */
@@ -22,6 +22,7 @@
   readonly backendServer: BackendServer;
   readonly url: string;
   readonly maxBodyBytes: number;
+  readonly outside: Pick<Outside, 'openPool' | 'probeServer'>;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -93,7 +94,7 @@
    */
   constructor(options: GateTaskOptions) {
     this.#options = options;
-    const { backendServer, clock, url, maxBodyBytes } = options;
+    const { backendServer, clock, url, maxBodyBytes, outside } = options;
     this.#task = new Task({
       initial: initialAdmissions({ backendServer, state: 'serving', now: clock.now() }),
       decide: decideGate,
@@ -105,6 +106,7 @@
       connections: Math.min(backendServer.connections, backendServer.slots),
       maxBodyBytes,
       clock,
+      openPool: outside.openPool,
       onEvent: (event) => this.#receive(event),
     });
     this.#ticker = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
@@ -280,7 +282,8 @@
   }
 
   async #probe(): Promise<void> {
-    const result = await probeServer(this.#options.url);
+    const { outside, url } = this.#options;
+    const result = await outside.probeServer(url);
     const suspicion = this.#suspicion;
     this.#suspicion = null;
     if (suspicion === null) return;
--- a/src/runtime/link-table.ts
+++ b/src/runtime/link-table.ts
@@ -7,6 +7,7 @@
 import type { PeerMessage } from '../core/model/peer-message.js';
 import type { Clock } from '../core/model/time.js';
 import type { Attempt } from '../core/pipeline/next-attempt.js';
+import type { LinkSocket, Outside } from './outside.js';
 import type { CountBytes } from './peer-socket.js';
 import type { TlsMaterial } from './tls-material.js';
 import { PeerLink, type HeartbeatContent, type LinkEvent } from './peer-link.js';
@@ -23,6 +24,7 @@
   readonly secret: string;
   readonly tls: TlsMaterial | null;
   readonly maxFrameBytes: number;
+  readonly openLink: Outside['openLink'];
   readonly clock: Clock;
   readonly countBytes: CountBytes;
   readonly heartbeat: () => HeartbeatContent;
@@ -65,7 +67,7 @@
       maxPayload: options.maxFrameBytes,
       perMessageDeflate: false,
     });
-    this.#webSocketServer.on('connection', (socket) => this.#add(socket, null));
+    this.#webSocketServer.on('connection', (socket) => this.accept(socket));
     this.#webSocketServer.on('error', () => {});
   }
 
@@ -86,14 +88,16 @@
    * @param address - its peer address, `IP:port`
    */
   connect(peer: BackendServerName, address: string): void {
-    const { tls, maxFrameBytes } = this.#options;
-    const socket = new WebSocket(`${tls === null ? 'ws' : 'wss'}://${address}`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
-      maxPayload: maxFrameBytes,
-      perMessageDeflate: false,
-      ...tls,
-    });
-    this.#add(socket, { peer, address });
+    this.#add((this.#options.openLink ?? this.#openWebSocket)(address), { peer, address });
+  }
+
+  /**
+   * Takes a connection that another node opened.
+   *
+   * @param socket - the connection
+   */
+  accept(socket: LinkSocket): void {
+    this.#add(socket, null);
   }
 
   /**
@@ -162,11 +166,21 @@
     });
   }
 
+  readonly #openWebSocket = (address: string): LinkSocket => {
+    const { tls, maxFrameBytes } = this.#options;
+    return new WebSocket(`${tls === null ? 'ws' : 'wss'}://${address}`, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      maxPayload: maxFrameBytes,
+      perMessageDeflate: false,
+      ...tls,
+    });
+  };
+
   #newest(peer: BackendServerName): PeerLink | undefined {
     return this.#ready.get(peer)?.at(-1);
   }
 
-  #add(socket: WebSocket, target: Target | null): void {
+  #add(socket: LinkSocket, target: Target | null): void {
     const { identity, secret, clock, countBytes, heartbeat } = this.#options;
     const link = new PeerLink({
       socket,
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -97,8 +97,11 @@
     [],
   );
 
-  constructor() {
-    collectDefaultMetrics({ register: this.registry });
+  /**
+   * @param hasProcessMetrics - whether to collect figures of the process as well
+   */
+  constructor(hasProcessMetrics = true) {
+    if (hasProcessMetrics) collectDefaultMetrics({ register: this.registry });
     // A counter that has never failed is shown as 0, so that its absence is noticed.
     PROMISES.forEach((promise) => this.brokenPromises.inc({ promise }, 0));
   }
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -10,9 +10,10 @@
 import { prepare, type EntryView } from '../core/pipeline/prepare.js';
 import { reportAll } from '../core/promises/report.js';
 import { assertPromise, type Violation } from '../core/promises/violation.js';
+import type { Clock } from '../core/model/time.js';
 import type { Settings } from '../core/settings/settings.js';
 import { CallSender } from './call-sender.js';
-import { CallerListener } from './caller-listener.js';
+import { CallerListener, type Front } from './caller-listener.js';
 import { ConfigurationTask } from './configuration-task.js';
 import { CrashTask } from './crash-task.js';
 import { CreditTask } from './credit-task.js';
@@ -23,16 +24,15 @@
 import { MembershipTask } from './membership-task.js';
 import { Metrics } from './metrics.js';
 import { metricsServer } from './metrics-listener.js';
-import { monotonicClock } from './monotonic-clock.js';
 import { OrderTask } from './order-task.js';
+import { realOutside, type LinkSocket, type Outside } from './outside.js';
 import { PeerRouter } from './peer-router.js';
 import { Placement } from './placement.js';
-import { openLog } from './roarr-log.js';
 import { RootWatch } from './root-watch.js';
 import { RunTask } from './run-task.js';
 import { SpreadTask } from './spread-task.js';
 import { drain } from './drain.js';
-import { newIncarnation, RequestIds } from './request-ids.js';
+import { RequestIds } from './request-ids.js';
 import type { TlsMaterial } from './tls-material.js';
 import { watchPauses } from './watch-pauses.js';
 
@@ -54,9 +54,11 @@
 
   readonly #identity: Identity;
 
-  readonly #clock = monotonicClock;
+  readonly #outside: Outside;
 
-  readonly #metrics = new Metrics();
+  readonly #clock: Clock;
+
+  readonly #metrics: Metrics;
 
   readonly #log;
 
@@ -64,7 +66,7 @@
 
   readonly #handles = new ContextHandles(randomBytes(CONTEXT_KEY_BYTES));
 
-  readonly #rootWatch = new RootWatch(monotonicClock);
+  readonly #rootWatch: RootWatch;
 
   readonly #links: LinkTable;
 
@@ -96,6 +98,15 @@
 
   readonly #pauses: NodeJS.Timeout;
 
+  /** What a front end hands requests to. */
+  readonly front: Front = {
+    newRequestId: () => this.#ids.next(),
+    handle: (request) => this.#entry.handle(request),
+    refuseTooLarge: (request) => this.#entry.refuse(request, refusal('requestTooLarge')),
+    issueOrder: (request) => this.#issueOrder(request),
+    abandoned: (requestId) => this.#entry.cancel(requestId),
+  };
+
   #isReady = false;
 
   #isStopping = false;
@@ -103,23 +114,27 @@
   /** Instant of the last answer of the configuration service. */
   #serviceHeardAt = Number.NEGATIVE_INFINITY;
 
-  #crashCount = 0;
-
   /**
    * @param settings - checked settings of the process
    * @param tls - PEM texts, or null without TLS
+   * @param outside - clock, randomness, log, sockets and services that the node meets
    */
-  constructor(settings: Settings, tls: TlsMaterial | null) {
+  constructor(settings: Settings, tls: TlsMaterial | null, outside: Outside = realOutside) {
     this.#settings = settings;
+    this.#outside = outside;
+    this.#clock = outside.clock;
+    this.#metrics = new Metrics(outside.hasProcessMetrics);
+    this.#rootWatch = new RootWatch(this.#clock);
     const { backendServer, zone, maxBodyBytes, peerSecret } = settings;
-    this.#identity = { node: backendServer, zone, incarnation: newIncarnation() };
-    this.#log = openLog(backendServer);
+    this.#identity = { node: backendServer, zone, incarnation: outside.newIncarnation() };
+    this.#log = outside.openLog(backendServer);
     this.#ids = new RequestIds(this.#identity);
     this.#links = new LinkTable({
       identity: this.#identity,
       secret: peerSecret,
       tls,
       maxFrameBytes: maxBodyBytes + FRAME_OVERHEAD_BYTES,
+      openLink: outside.openLink,
       clock: this.#clock,
       countBytes: (direction, purpose, bytes) =>
         this.#metrics.peerBytes.inc({ direction, purpose }, bytes),
@@ -132,6 +147,7 @@
       identity: this.#identity,
       clock: this.#clock,
       report: this.#report,
+      randomInteger: outside.randomInteger,
       send: this.#sendToPeer,
       wantPeer: (peer) => this.#membership.send({ kind: 'peer-wanted', peer }),
     });
@@ -184,6 +200,18 @@
     });
   }
 
+  /** @returns whether the node has a configuration and takes requests */
+  get isReady(): boolean {
+    return this.#isReady;
+  }
+
+  /**
+   * Takes a connection that another node opened.
+   *
+   * @param socket - the connection
+   */
+  readonly acceptLink = (socket: LinkSocket): void => this.#links.accept(socket);
+
   /**
    * Stops in order: takes no new work, lets everything that runs finish, hands credit back and
    * closes all connections.
@@ -231,6 +259,11 @@
     this.#log.write(violation);
   };
 
+  /** @returns what most tasks need of the node */
+  #common() {
+    return { clock: this.#clock, log: this.#log, metrics: this.#metrics, report: this.#report };
+  }
+
   readonly #sendToPeer: LinkTable['send'] = (...args) => this.#links.send(...args);
 
   #createMembership(): MembershipTask {
@@ -238,7 +271,7 @@
       identity: this.#identity,
       seeds: this.#settings.seeds,
       clock: this.#clock,
-      random: Math.random,
+      random: this.#outside.random,
       connect: (peer, address) => this.#links.connect(peer, address),
       disconnect: (peer) => this.#links.disconnect(peer),
       neighboursChanged: (neighbours) =>
@@ -251,11 +284,9 @@
     return new SpreadTask({
       identity: this.#identity,
       urls: this.#settings.configurationServiceUrls,
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      report: this.#report,
-      random: Math.random,
+      openService: this.#outside.openService,
+      ...this.#common(),
+      random: this.#outside.random,
       send: this.#sendToPeer,
       check: (document) => this.#configuration.check(document),
       apply: (document) => this.#configuration.apply(document),
@@ -273,6 +304,7 @@
 
   #createCrashes(): CrashTask {
     return new CrashTask({
+      identity: this.#identity,
       clock: this.#clock,
       spread: (marks) =>
         this.#links.peers.forEach((peer) => this.#sendToPeer(peer, { kind: 'marks', marks })),
@@ -283,11 +315,8 @@
 
   #createPlacement(): Placement {
     return new Placement({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      report: this.#report,
-      random: Math.random,
+      ...this.#common(),
+      random: this.#outside.random,
       zone: this.#identity.zone,
       region: () => this.#membership.region,
       candidates: (service) => this.#membership.candidates(service),
@@ -300,9 +329,7 @@
     return new OrderTask({
       identity: this.#identity,
       secret: this.#settings.peerSecret,
-      clock: this.#clock,
-      log: this.#log,
-      report: this.#report,
+      ...this.#common(),
       place: (call) => this.#placement.place(call),
       sendHome: (home, call, orderId) => this.#sender.sendHome(home, call, orderId),
     });
@@ -310,9 +337,7 @@
 
   #createEntry(): EntryTask {
     return new EntryTask({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
+      ...this.#common(),
       prepare: prepare(this.#entryView()),
       placement: this.#placement,
       orders: this.#orders,
@@ -332,9 +357,7 @@
       crashes: this.#crashes,
       orders: this.#orders,
       gate: () => this.#configuration.gate,
-      clock: this.#clock,
-      metrics: this.#metrics,
-      log: this.#log,
+      ...this.#common(),
     });
   }
 
@@ -343,11 +366,7 @@
       clock: this.#clock,
       tls,
       maxBodyBytes: this.#settings.maxBodyBytes,
-      newRequestId: () => this.#ids.next(),
-      handle: (request) => this.#entry.handle(request),
-      refuseTooLarge: (request) => this.#entry.refuse(request, refusal('requestTooLarge')),
-      issueOrder: (request) => this.#issueOrder(request),
-      abandoned: (requestId) => this.#entry.cancel(requestId),
+      ...this.front,
       isStopping: () => this.#isStopping,
     });
   }
@@ -388,23 +407,14 @@
       backendServer,
       url: this.#settings.backendServerUrl,
       maxBodyBytes: this.#settings.maxBodyBytes,
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      report: this.#report,
+      outside: this.#outside,
+      ...this.#common(),
       handles: this.#handles,
       runs: this.#runs,
       isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
       hasMark: (fingerprint) => this.#crashes.hasMark(fingerprint),
-      crashed: (fingerprints) => this.#crashed(fingerprints),
+      crashed: (fingerprints) => this.#crashes.crashed(fingerprints),
       completed: (fingerprint) => this.#crashes.send({ kind: 'completed', fingerprint }),
     });
   }
-
-  #crashed(fingerprints: readonly string[]): void {
-    this.#crashCount += 1;
-    const { node, incarnation } = this.#identity;
-    const crashId = `${node}-${incarnation}-${this.#crashCount}`;
-    this.#crashes.send({ kind: 'crashed', crashId, fingerprints });
-  }
 }
--- /dev/null
+++ b/src/runtime/outside.ts
@@ -0,0 +1,84 @@
+import { randomInt } from 'node:crypto';
+import { Pool, type Dispatcher } from 'undici';
+import type { RawData } from 'ws';
+import type { Log } from '../core/logs/log-entry.js';
+import type { Topic } from '../core/model/document.js';
+import type { BackendServerName, Incarnation } from '../core/model/names.js';
+import type { Clock } from '../core/model/time.js';
+import { probeServer, type ProbeResult } from './crash-probe.js';
+import { monotonicClock } from './monotonic-clock.js';
+import { newIncarnation } from './request-ids.js';
+import { openLog } from './roarr-log.js';
+import { ServiceClient, type ServiceReply } from './service-client.js';
+
+/** What a link uses of its WebSocket. */
+export interface LinkSocket {
+  readonly readyState: number;
+  readonly OPEN: number;
+  send(data: Uint8Array): void;
+  close(): void;
+  terminate(): void;
+  on(event: 'message', listener: (data: RawData) => void): unknown;
+  on(event: 'close', listener: () => void): unknown;
+  on(event: 'error', listener: () => void): unknown;
+  once(event: 'open', listener: () => void): unknown;
+}
+
+/** Connections to the backend server. */
+export type BackendPool = Pick<Dispatcher, 'dispatch'> & {
+  close(): Promise<void>;
+  destroy(): Promise<void>;
+};
+
+/** Reader of the configuration service; each read and watch brings one reply. */
+export interface ConfigurationReader {
+  read(topic: Topic): void;
+  watch(topic: Topic): void;
+  close(): void;
+}
+
+/** Everything that a node meets outside of its own tasks. */
+export interface Outside {
+  readonly clock: Clock;
+  /** @returns a fraction at least 0 and below 1 */
+  readonly random: () => number;
+  /** @returns an integer at least 1 and below the limit */
+  readonly randomInteger: (limit: number) => number;
+  readonly newIncarnation: () => Incarnation;
+  readonly openLog: (node: BackendServerName) => Log & { readonly flush: () => void };
+  /** Metrics of the process exist once, whatever the number of nodes in it. */
+  readonly hasProcessMetrics: boolean;
+  /** Opens a connection to a peer address; null for a WebSocket with the node's TLS files. */
+  readonly openLink: ((address: string) => LinkSocket) | null;
+  readonly openPool: (url: string, connections: number) => BackendPool;
+  readonly probeServer: (url: string) => Promise<ProbeResult>;
+  readonly openService: (
+    urls: readonly string[],
+    onReply: (reply: ServiceReply) => void,
+  ) => ConfigurationReader;
+}
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** The clock, sockets and services of a real process. */
+export const realOutside: Outside = {
+  clock: monotonicClock,
+  random: Math.random,
+  randomInteger: (limit) => randomInt(1, limit),
+  newIncarnation,
+  openLog,
+  hasProcessMetrics: true,
+  openLink: null,
+  // One request at a time on a connection: with pipelining, a lost connection would leave
+  // open which of several requests had reached the backend server.
+  openPool: (url, connections) =>
+    new Pool(url, {
+      connections,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }),
+  probeServer,
+  openService: (urls, onReply) => new ServiceClient(urls, onReply),
+};
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -1,4 +1,3 @@
-import type { WebSocket } from 'ws';
 import type { Identity } from '../core/membership/handshake.js';
 import {
   decideLink,
@@ -16,6 +15,7 @@
 import type { Attempt } from '../core/pipeline/next-attempt.js';
 import { Task } from '../core/task/task.js';
 import { OutstandingCalls } from './outstanding-calls.js';
+import type { LinkSocket } from './outside.js';
 import { PeerSocket, type CountBytes, type SocketEvent } from './peer-socket.js';
 
 /** What a heartbeat tells the peer besides the time. */
@@ -38,7 +38,7 @@
 
 /** What a link needs. */
 export interface PeerLinkOptions {
-  readonly socket: WebSocket;
+  readonly socket: LinkSocket;
   readonly role: 'opener' | 'listener';
   /** Address that this node connected to; null when the peer opened the link. */
   readonly address: string | null;
--- a/src/runtime/peer-socket.ts
+++ b/src/runtime/peer-socket.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
-import type { RawData, WebSocket } from 'ws';
+import type { RawData } from 'ws';
 import {
   challengeHello,
   PEER_PROTOCOL_VERSION,
@@ -12,6 +12,7 @@
   type Identity,
 } from '../core/membership/handshake.js';
 import type { PeerMessage } from '../core/model/peer-message.js';
+import type { LinkSocket } from './outside.js';
 import { decodeFrame, encodeFrame, type Frame } from './frame-codec.js';
 
 /** What a socket tells its owner. */
@@ -30,7 +31,7 @@
 
 /** What both ends of a socket need. */
 export interface PeerSocketOptions {
-  readonly socket: WebSocket;
+  readonly socket: LinkSocket;
   readonly identity: Identity;
   readonly secret: string;
   /** Counts the bytes of a frame, so that the cost of control can be told from that of calls. */
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -3,7 +3,7 @@
 import type { BackendServerName, RegionName, ServiceName, ZoneName } from '../core/model/names.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 import type { Candidate } from '../core/membership/membership-message.js';
-import { nextAttempt, type Attempt } from '../core/pipeline/next-attempt.js';
+import { finalOutcome, nextAttempt, type Attempt } from '../core/pipeline/next-attempt.js';
 import { reportAll, type Report } from '../core/promises/report.js';
 import { assertPromise } from '../core/promises/violation.js';
 import { chooseBackendServer, type Choice } from '../core/routing/route-choice.js';
@@ -35,13 +35,23 @@
   readonly number: number;
   readonly retriesSpent: number;
   readonly excluded: ReadonlySet<BackendServerName>;
+  /** Outcome of the last send that may have run; null when none has. */
+  readonly mayHaveRun: Outcome | null;
   readonly feedback: readonly Feedback[];
 }
 
 /** A first call to a service opens links; waiting that long for one beats a refusal. */
 const CANDIDATE_WAIT_MS = 300;
 
-const START: Progress = { number: 1, retriesSpent: 0, excluded: new Set(), feedback: [] };
+const START: Progress = {
+  number: 1,
+  retriesSpent: 0,
+  excluded: new Set(),
+  mayHaveRun: null,
+  feedback: [],
+};
+
+const NO_BACKEND_SERVER: Outcome = { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 };
 
 function subjectOf(call: Call): Subject {
   const { requestId, rootId, caller, service } = call;
@@ -98,7 +108,7 @@
     const choice = await this.#choose(call, progress);
     if (choice === null) {
       return {
-        outcome: { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 },
+        outcome: finalOutcome(NO_BACKEND_SERVER, progress.mayHaveRun),
         retriesSpent: progress.retriesSpent,
         feedback: progress.feedback,
       };
@@ -128,9 +138,10 @@
   ): Promise<Placed> {
     const { clock, metrics } = this.#options;
     const retriesLeft = call.retries - progress.retriesSpent;
-    const { number } = progress;
+    const { mayHaveRun, number } = progress;
     const now = clock.now();
-    const next = nextAttempt({ call, backendServer, attempt, number, retriesLeft, now });
+    const review = { call, backendServer, attempt, mayHaveRun, number, retriesLeft, now };
+    const next = nextAttempt(review);
     switch (next.kind) {
       case 'finish':
         return {
@@ -144,6 +155,7 @@
           number: progress.number + 1,
           retriesSpent: progress.retriesSpent + 1,
           excluded: new Set([...progress.excluded, next.excluded]),
+          mayHaveRun: next.mayHaveRun,
           feedback: progress.feedback,
         });
     }
--- a/src/runtime/spread-task.ts
+++ b/src/runtime/spread-task.ts
@@ -18,12 +18,14 @@
 import { Task } from '../core/task/task.js';
 import type { Metrics } from './metrics.js';
 import type { HeartbeatContent } from './peer-link.js';
-import { ServiceClient, type ServiceReply } from './service-client.js';
+import type { ConfigurationReader, Outside } from './outside.js';
+import type { ServiceReply } from './service-client.js';
 
 /** What the spread needs of its node. */
 export interface SpreadTaskOptions {
   readonly identity: Identity;
   readonly urls: readonly string[];
+  readonly openService: Outside['openService'];
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -45,7 +47,7 @@
 
   readonly #task: Task<SpreadState, SpreadMessage, SpreadEffect>;
 
-  readonly #client: ServiceClient;
+  readonly #client: ConfigurationReader;
 
   readonly #ticker: NodeJS.Timeout;
 
@@ -54,9 +56,9 @@
    */
   constructor(options: SpreadTaskOptions) {
     this.#options = options;
-    const { identity, random, clock, urls, check } = options;
+    const { identity, random, clock, urls, openService, check } = options;
     const spreadOptions = { node: identity.node, zone: identity.zone, check, random };
-    this.#client = new ServiceClient(urls, (reply) => this.#receive(reply));
+    this.#client = openService(urls, (reply) => this.#receive(reply));
     this.#task = new Task({
       initial: initialSpread(spreadOptions),
       decide: decideSpread(spreadOptions),
--- /dev/null
+++ b/test/core/pipeline/next-attempt.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Outcome } from '../../../src/core/model/call.js';
+import { finalOutcome, nextAttempt } from '../../../src/core/pipeline/next-attempt.js';
+import { call } from '../admission/fixtures.js';
+
+const refused: Outcome = { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 };
+const lost: Outcome = { kind: 'failed', code: 'linkLost' };
+
+// Guards against "not run" for a call whose first send was lost at a gate that ran it, when the
+// second send then found no other gate (found by a random run, seed 1).
+test('a refusal after a send that may have run is no refusal of the call', () => {
+  const review = {
+    call: call({}),
+    backendServer: 'one',
+    now: 0,
+    number: 1,
+    mayHaveRun: null,
+  } as const;
+  const next = nextAttempt({
+    ...review,
+    attempt: { kind: 'lost', code: 'linkLost' },
+    retriesLeft: 1,
+  });
+  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', mayHaveRun: lost });
+  const last = nextAttempt({
+    ...review,
+    mayHaveRun: lost,
+    attempt: { kind: 'unsent' },
+    retriesLeft: 0,
+  });
+  assert.deepEqual(last, { kind: 'finish', outcome: lost });
+  assert.deepEqual(finalOutcome(refused, lost), lost);
+});
+
+// Guards against a loss of true refusals: a call that no gate took did not run.
+test('a refusal after refusals only stays a refusal', () => {
+  const attempt = { kind: 'unsent' } as const;
+  const review = {
+    call: call({}),
+    backendServer: 'one',
+    now: 0,
+    number: 1,
+    mayHaveRun: null,
+    attempt,
+  };
+  const next = nextAttempt({ ...review, retriesLeft: 1 });
+  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', mayHaveRun: null });
+  assert.deepEqual(nextAttempt({ ...review, retriesLeft: 0 }), {
+    kind: 'finish',
+    outcome: refused,
+  });
+});
