Check whole fleets in random runs and scripted scenarios

Cause: the tests of single decisions do not show faults of the wiring under concurrent failures. Change: npm run soak performs random steps on six real nodes with a made-up clock over fake links, backend servers and a fake configuration service, audits the promises from outside and prints a shortened trace of a failing run. A repeated call that repeats its deeper calls exceeds the stated number of sends; it is listed as known red.

--- /dev/null
+++ b/soak/audit.ts
@@ -0,0 +1,175 @@
+import type { LogEntry, Subject } from '../src/core/logs/log-entry.js';
+import { auditAdmission, EMPTY_RATE_AUDIT, type RateAudit } from '../src/core/credit/rate-audit.js';
+import type { PromiseName } from '../src/core/promises/violation.js';
+import type { EntryReply } from '../src/runtime/entry-task.js';
+import { answerFor, type Run } from './fake-backend.js';
+import type { Step } from './step.js';
+
+/** A broken promise, as the program or the audit saw it. */
+export interface Breach {
+  readonly at: number;
+  readonly promise: PromiseName;
+  readonly detail: string;
+}
+
+export type RouteName = Extract<Step, { kind: 'request' }>['route'];
+
+/** One request of a caller or of a backend server on its way. */
+export interface Ask {
+  readonly id: string;
+  readonly mark: string;
+  readonly route: RouteName;
+  readonly account: string;
+  /** Path that the backend server should see. */
+  readonly path: string;
+  readonly isRoot: boolean;
+  readonly sentAt: number;
+}
+
+export const LIMITS: ReadonlyMap<string, { ratePerSecond: number; burst: number }> = new Map([
+  ['mill', { ratePerSecond: 60, burst: 40 }],
+  ['shop', { ratePerSecond: 10, burst: 12 }],
+]);
+export const RETRIES = 2;
+export const COLD_CAPACITY = 2;
+
+/** Calls in the tree of a root request; an order makes one deeper order. */
+const TREE: Readonly<Record<RouteName, number>> = {
+  ...{ read: 1, deep: 3, order: 2, open: 1, item: 1, leak: 1 },
+};
+
+/** Judges what the driver sees from outside of the nodes. */
+export class Audit {
+  readonly breaches: Breach[] = [];
+
+  /** Breaches that are listed in KNOWN-RED.txt; a test of its own fails on them. */
+  readonly knownRed: Breach[] = [];
+
+  readonly asks = new Map<string, Ask>();
+
+  readonly replies = new Map<string, EntryReply>();
+
+  /** Root requests by the code of their answer. */
+  readonly answers: Record<string, number> = {};
+
+  /** Runs by path, to count orders. */
+  readonly runs = new Map<string, number>();
+
+  readonly #ran = new Set<string>();
+
+  readonly #rates = new Map<string, RateAudit>();
+
+  /** Sends by root request; its calls, repeated or not. */
+  readonly #sends = new Map<string, { all: number; extra: number }>();
+
+  readonly #versions = new Map<string, number>();
+
+  readonly #routeOf = new Map<string, RouteName>();
+
+  constructor(readonly now: () => number) {}
+
+  breach(promise: PromiseName, detail: string): void {
+    this.breaches.push({ at: this.now(), promise, detail });
+  }
+
+  /** Takes a request that is handed to a node under the identifier the node gave it. */
+  asked(ask: Ask, requestId: string): void {
+    this.asks.set(ask.id, ask);
+    if (ask.isRoot) this.#routeOf.set(requestId, ask.route);
+  }
+
+  logged(process: string, entry: LogEntry): void {
+    switch (entry.kind) {
+      case 'violation':
+        this.breach(entry.promise, `${process}: ${entry.detail}`);
+        break;
+      case 'routing':
+        this.#admitted(entry);
+        if (entry.choice !== null) this.#sent(entry.rootId, entry.attempt > 1);
+        break;
+      case 'placement':
+        this.#admitted(entry);
+        break;
+      case 'event':
+        if (entry.code === 'documentApplied') this.#applied(process, entry.details);
+        break;
+      case 'dispatch':
+      case 'gate-answer':
+      case 'refusal':
+      case 'entry-answer':
+        break;
+    }
+  }
+
+  started(run: Run, coldRunning: number | null): void {
+    const id = run.headers.get('x-attempt') ?? '';
+    const ask = this.asks.get(id);
+    const count = (this.runs.get(run.path) ?? 0) + 1;
+    this.runs.set(run.path, count);
+    this.#ran.add(id);
+    if (this.replies.get(id)?.isNotRun === true) {
+      this.breach('not-run', `${id} ran after it was answered with "not run"`);
+    }
+    if (count > 1 && /^\/(order|book)\//.test(run.path)) {
+      this.breach('at-most-once', `${run.path} ran ${count} times`);
+    }
+    if (coldRunning !== null && coldRunning > COLD_CAPACITY) {
+      this.breach('cold-start', `${run.server} runs ${coldRunning} calls directly after a start`);
+    }
+    const text = [run.path, ...run.headers.keys(), ...run.headers.values(), run.body].join('\n');
+    if (/key-of|fo-yek/.test(text)) this.breach('key-hidden', `${id} shows a key to ${run.server}`);
+    const account = run.headers.get('almondhoist-account');
+    if (ask?.route !== 'open' && account !== ask?.account) {
+      this.breach('own-account', `${id} of ${ask?.account} runs for ${account}`);
+    }
+  }
+
+  replied(ask: Ask, reply: EntryReply): void {
+    this.replies.set(ask.id, reply);
+    if (ask.isRoot) this.answers[reply.code] = (this.answers[reply.code] ?? 0) + 1;
+    const body = Buffer.from(reply.body).toString();
+    if (reply.code === 'ok' && reply.status === 200 && body !== answerFor(ask.path)) {
+      this.breach('own-answer', `${ask.id} for ${ask.path} was answered with ${body}`);
+    }
+    const mayHaveRun =
+      this.#ran.has(ask.id) || (ask.route === 'order' && (this.runs.get(ask.path) ?? 0) > 0);
+    if (reply.isNotRun && mayHaveRun) {
+      this.breach('not-run', `${ask.id} ran and was answered with "not run" (${reply.code})`);
+    }
+  }
+
+  #admitted({ rootId, requestId, caller }: Subject): void {
+    if (rootId !== requestId || caller.kind === 'anonymous' || this.#sends.has(rootId)) return;
+    this.#sends.set(rootId, { all: 0, extra: 0 });
+    const limit = LIMITS.get(caller.account) ?? { ratePerSecond: 0, burst: 0 };
+    const before = this.#rates.get(caller.account) ?? EMPTY_RATE_AUDIT;
+    const { audit, violations } = auditAdmission(before, this.now(), limit);
+    this.#rates.set(caller.account, audit);
+    violations.forEach(({ promise, detail }) =>
+      this.breach(promise, `${caller.account}: ${detail}`),
+    );
+  }
+
+  #sent(rootId: string, isExtra: boolean): void {
+    const sends = this.#sends.get(rootId) ?? { all: 0, extra: 0 };
+    sends.all += 1;
+    sends.extra += isExtra ? 1 : 0;
+    this.#sends.set(rootId, sends);
+    if (sends.extra > RETRIES) {
+      this.breach('retry-bound', `${rootId}: ${sends.extra} extra sends of ${RETRIES}`);
+    }
+    const calls = TREE[this.#routeOf.get(rootId) ?? 'read'];
+    if (sends.all > calls + RETRIES) {
+      const detail = `${rootId}: ${sends.all} sends of ${calls} calls, ${sends.extra} of them extra`;
+      this.knownRed.push({ at: this.now(), promise: 'retry-bound', detail });
+    }
+  }
+
+  #applied(process: string, details: Readonly<Record<string, string | number>> = {}): void {
+    const key = `${process} ${details['topic']}`;
+    const version = Number(details['version']);
+    const last = this.#versions.get(key) ?? 0;
+    this.#versions.set(key, version);
+    if (version < last) this.breach('configuration-order', `${key}: ${version} after ${last}`);
+  }
+}
--- /dev/null
+++ b/soak/fake-backend.ts
@@ -0,0 +1,225 @@
+import type { Dispatcher } from 'undici';
+import type { ProbeResult } from '../src/runtime/crash-probe.js';
+import type { BackendPool } from '../src/runtime/outside.js';
+import type { MadeUpTime } from './made-up-time.js';
+import type { Process } from './process.js';
+import type { Step } from './step.js';
+import type { Sabotage } from './sabotage.js';
+
+/** How a backend server treats requests. */
+export type BackendMode = 'well' | 'slow' | 'failing' | 'cold' | 'down';
+
+/** A request that a backend server starts to run. */
+export interface Run {
+  readonly server: string;
+  readonly path: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+}
+
+/** Outcome of a deeper call that a run makes. */
+export type DeeperCall = (run: Run, target: string) => Promise<boolean>;
+
+export interface FakeBackendOptions {
+  readonly name: string;
+  readonly slots: number;
+  readonly coldCapacity: number;
+  readonly time: MadeUpTime;
+  readonly random: () => number;
+  /** Audits a run that starts; after a crash, `coldRunning` is the number of runs at once. */
+  readonly started: (run: Run, coldRunning: number | null) => void;
+  readonly sabotage: Sabotage | null;
+  /** Targets of the calls that a run makes before it answers. */
+  readonly deeper: (run: Run) => readonly string[];
+  readonly call: DeeperCall;
+}
+
+interface Running {
+  readonly process: Process;
+  readonly fail: (code: string) => void;
+}
+
+const RESTART_MS = 500;
+const SLOW_FACTOR = 20;
+const MAX_RUN_MS = 20;
+
+/** Builds the answer that belongs to a request. */
+export function answerFor(path: string): string {
+  return `${path}|`.repeat(1 + (path.length % 5));
+}
+
+/** A backend server: it runs, answers, fails, crashes, turns cold or goes silent; no more. */
+export class FakeBackend {
+  mode: BackendMode = 'well';
+
+  readonly #options: FakeBackendOptions;
+
+  readonly #running = new Set<Running>();
+
+  #incarnation = 1;
+
+  #hasEnded = true;
+
+  constructor(options: FakeBackendOptions) {
+    this.#options = options;
+  }
+
+  change(mode: Extract<Step, { kind: 'backend' }>['mode']): void {
+    if (mode === 'crash') this.crash();
+    else if (mode === 'silent') this.silence();
+    else if (this.mode !== 'down') this.mode = mode;
+  }
+
+  crash(): void {
+    const { sabotage } = this.#options;
+    if (this.mode === 'down') return;
+    // Without anything running, a gate learns of the crash only from the next answer.
+    this.#hasEnded = this.#running.size === 0;
+    if (sabotage === 'unseen-crash') {
+      this.#running.clear();
+      this.restart();
+      return;
+    }
+    this.mode = 'down';
+    this.#running.forEach((running) => running.fail('ECONNRESET'));
+    this.#running.clear();
+    this.#options.time.after(null, RESTART_MS, () => this.restart());
+  }
+
+  restart(): void {
+    this.mode = 'well';
+    this.#incarnation += 1;
+  }
+
+  /** Makes the connections of everything that runs silent; new ones work. */
+  silence(): void {
+    this.#running.clear();
+  }
+
+  /** The connections of a dead node break, which cancels what it sent. */
+  drop(process: Process): void {
+    [...this.#running]
+      .filter((running) => running.process === process)
+      .forEach((running) => this.#running.delete(running));
+  }
+
+  probe(process: Process): Promise<ProbeResult> {
+    return new Promise((resolve) => {
+      this.#options.time.after(process, 2, () =>
+        resolve(
+          this.mode === 'down'
+            ? { kind: 'refused' }
+            : { kind: 'answered', incarnation: `${this.#incarnation}` },
+        ),
+      );
+    });
+  }
+
+  openPool(process: Process): BackendPool {
+    const nothing = async () => {};
+    return {
+      close: nothing,
+      destroy: nothing,
+      dispatch: (options, handler) => {
+        this.#options.time.after(process, 1, () => this.#connect(process, options, handler));
+        return true;
+      },
+    };
+  }
+
+  #connect(
+    process: Process,
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
+    const { time } = this.#options;
+    let isEnded = false;
+    const aborts: ((error: Error) => void)[] = [];
+    const controller = {
+      abort: (error: Error) => aborts.forEach((abort) => abort(error)),
+    } as Dispatcher.DispatchController;
+    const fail = (error: Error): void => {
+      if (isEnded) return;
+      isEnded = true;
+      time.after(process, 1, () => handler.onResponseError?.(controller, error));
+    };
+    aborts.push(fail);
+    if (this.mode === 'down') {
+      fail(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }));
+      return;
+    }
+    handler.onRequestStart?.(controller, {});
+    if (isEnded) return;
+    const answer = (status: number, body: string, headers: Readonly<Record<string, string>>) => {
+      if (isEnded) return;
+      isEnded = true;
+      const own = {
+        'x-server-incarnation': `${this.#incarnation}`,
+        'content-length': `${body.length}`,
+      };
+      time.after(process, 1, () => {
+        handler.onResponseStart?.(controller, status, { ...own, ...headers });
+        handler.onResponseData?.(controller, Buffer.from(body));
+        handler.onResponseEnd?.(controller, {});
+      });
+    };
+    const running: Running = {
+      process,
+      fail: (code) => fail(Object.assign(new Error(code), { code })),
+    };
+    void this.#run(this.#toRun(options), running, answer);
+    if (this.#options.sabotage === 'repeated-run') {
+      void this.#run(this.#toRun(options), running, answer);
+    }
+  }
+
+  #toRun({ path, headers, body }: Dispatcher.DispatchOptions): Run {
+    const flat = headers as readonly string[];
+    const pairs = flat.flatMap((name, index): readonly [string, string][] =>
+      index % 2 === 0 ? [[name, flat[index + 1] ?? '']] : [],
+    );
+    const text = body === null || body === undefined ? '' : String(body);
+    return { server: this.#options.name, path, headers: new Map(pairs), body: text };
+  }
+
+  async #run(
+    run: Run,
+    running: Running,
+    answer: (status: number, body: string, headers: Readonly<Record<string, string>>) => void,
+  ): Promise<void> {
+    const { slots, coldCapacity, started, deeper, call, sabotage } = this.#options;
+    const capacity = this.mode === 'cold' ? coldCapacity : slots;
+    if (this.#running.size >= capacity) {
+      answer(503, 'full', { 'x-not-run': 'true' });
+      return;
+    }
+    this.#running.add(running);
+    started(run, this.#hasEnded ? null : this.#running.size);
+    if (run.path.includes('crash')) {
+      this.crash();
+      return;
+    }
+    await this.#work();
+    let isWhole = true;
+    for (const target of deeper(run)) {
+      if (isWhole && this.#running.has(running)) isWhole = await call(run, target);
+    }
+    if (!this.#running.delete(running)) return;
+    this.#hasEnded = true;
+    const isFailing = this.mode === 'failing' || !isWhole;
+    if (sabotage === 'false-not-run' && run.path.includes('7')) {
+      answer(503, 'false', { 'x-not-run': 'true' });
+      return;
+    }
+    const path = sabotage === 'crossed-answer' ? `${run.path}0` : run.path;
+    answer(isFailing ? 500 : 200, isFailing ? 'failed' : answerFor(path), {});
+  }
+
+  #work(): Promise<void> {
+    const { time, random } = this.#options;
+    const factor = this.mode === 'slow' || this.mode === 'cold' ? SLOW_FACTOR : 1;
+    return new Promise((resolve) => {
+      time.after(null, (1 + random() * MAX_RUN_MS) * factor, () => resolve());
+    });
+  }
+}
--- /dev/null
+++ b/soak/fake-service.ts
@@ -0,0 +1,86 @@
+import { documentDigest } from '../src/core/model/document-digest.js';
+import type { Document, Topic } from '../src/core/model/document.js';
+import type { Host } from '../src/core/model/host.js';
+import type { ConfigurationReader } from '../src/runtime/outside.js';
+import type { ServiceReply } from '../src/runtime/service-client.js';
+import type { MadeUpTime } from './made-up-time.js';
+import type { Process } from './process.js';
+
+/** How the configuration service behaves; a stale one goes on with what it had. */
+export type ServiceState = 'up' | 'down' | 'stale';
+
+const ANSWER_MS = 4;
+const WATCH_MS = 1000;
+const WATCH_STEP_MS = 50;
+
+interface Reader {
+  readonly process: Process;
+  readonly onReply: (reply: ServiceReply) => void;
+  readonly seen: Map<Topic, string>;
+  isOpen: boolean;
+}
+
+/** Builds the document of a zone's host list. */
+export function hostDocument(zone: string, version: number, hosts: readonly Host[]): Document {
+  const entries = new Map(hosts.map((host) => [host.backendServer, JSON.stringify(host)]));
+  return { topic: `hosts/${zone}`, version, digest: documentDigest(entries), entries };
+}
+
+/** The configuration service: read and watch, nothing else. */
+export class FakeService {
+  state: ServiceState = 'up';
+
+  /** Instant since which it has been up. */
+  upSince = 0;
+
+  readonly #published = new Map<Topic, Document>();
+
+  #served: ReadonlyMap<Topic, Document> = new Map();
+
+  constructor(readonly time: MadeUpTime) {}
+
+  publish(document: Document): void {
+    this.#published.set(document.topic, document);
+    if (this.state !== 'stale') this.#served = new Map(this.#published);
+  }
+
+  change(state: ServiceState): void {
+    if (this.state !== 'up' && state === 'up') this.upSince = this.time.now;
+    this.state = state;
+    if (state !== 'stale') this.#served = new Map(this.#published);
+  }
+
+  open(process: Process, onReply: (reply: ServiceReply) => void): ConfigurationReader {
+    const reader: Reader = { process, onReply, seen: new Map(), isOpen: true };
+    return {
+      read: (topic) => {
+        reader.seen.delete(topic);
+        this.#reply(reader, topic, 0, ANSWER_MS);
+      },
+      watch: (topic) => this.#reply(reader, topic, WATCH_MS, ANSWER_MS),
+      close: () => {
+        reader.isOpen = false;
+      },
+    };
+  }
+
+  #reply(reader: Reader, topic: Topic, waitMs: number, afterMs: number): void {
+    this.time.after(reader.process, afterMs, () => {
+      if (reader.isOpen) this.#answer(reader, topic, waitMs - afterMs);
+    });
+  }
+
+  #answer(reader: Reader, topic: Topic, waitMs: number): void {
+    const { seen, onReply } = reader;
+    const document = this.#served.get(topic);
+    const tag = `${document?.version}/${document?.digest}`;
+    const isKnown = seen.get(topic) === tag;
+    if (this.state === 'down' || document === undefined) {
+      onReply({ kind: 'failed', topic, reason: 'down' });
+    } else if (isKnown && waitMs > 0) this.#reply(reader, topic, waitMs, WATCH_STEP_MS);
+    else {
+      seen.set(topic, tag);
+      onReply(isKnown ? { kind: 'unchanged', topic } : { kind: 'value', topic, document });
+    }
+  }
+}
--- /dev/null
+++ b/soak/step.ts
@@ -0,0 +1,128 @@
+import { Codec, enumeration, exactly, number, oneOf, string, type GetType } from 'purify-ts/Codec';
+
+function words<Word extends string>(...values: readonly Word[]): Codec<Word> {
+  return enumeration(Object.fromEntries(values.map((v) => [v, v])) as Record<string, Word>);
+}
+
+/** Names in a step: nodes `front-a` to `back-c`, zones `a` to `c`, accounts `mill` and `shop`. */
+const request = {
+  node: string,
+  account: string,
+  route: words('read', 'deep', 'order', 'open', 'item', 'leak'),
+};
+
+/** Codec of a step, the unit of random runs and of scenario files. */
+export const stepCodec = oneOf([
+  /** A request; a mark that was used before repeats that request. */
+  Codec.interface({ kind: exactly('request'), ...request, mark: string }),
+  /** Requests `MARK-0` and so on at an even rate, over all nodes when the node is `any`. */
+  Codec.interface({
+    kind: exactly('load'),
+    ...request,
+    mark: string,
+    perSecond: number,
+    ms: number,
+  }),
+  Codec.interface({ kind: exactly('pause'), node: string, ms: number }),
+  Codec.interface({ kind: exactly('restart'), node: string }),
+  /** The host fails without a word; another takes its place under a new address. */
+  Codec.interface({ kind: exactly('replace'), node: string, ms: number }),
+  Codec.interface({ kind: exactly('stop'), node: string }),
+  Codec.interface({ kind: exactly('leave'), node: string }),
+  Codec.interface({ kind: exactly('return'), node: string }),
+  Codec.interface({
+    kind: exactly('zone'),
+    zone: string,
+    state: words('in', 'out'),
+  }),
+  Codec.interface({ kind: exactly('withdraw'), account: string }),
+  Codec.interface({ kind: exactly('grant'), account: string }),
+  Codec.interface({
+    kind: exactly('service'),
+    state: words('up', 'down', 'stale'),
+  }),
+  /** Parts the fleet in two: the nodes whose names contain the text, and the others. */
+  Codec.interface({ kind: exactly('cut'), nodes: string, ms: number }),
+  Codec.interface({ kind: exactly('silence'), node: string }),
+  Codec.interface({
+    kind: exactly('backend'),
+    node: string,
+    mode: words('well', 'slow', 'failing', 'cold', 'crash', 'silent'),
+  }),
+  Codec.interface({ kind: exactly('wait'), ms: number }),
+]);
+
+export type Step = GetType<typeof stepCodec>;
+
+export const ZONES = ['a', 'b', 'c'] as const;
+export const NODES = ['front', 'back'].flatMap((service) =>
+  ZONES.map((zone) => `${service}-${zone}`),
+);
+export const ACCOUNTS = ['mill', 'shop'] as const;
+
+/** Faults are rare beside requests, so that runs stay mostly able to work. */
+const FAULT_SHARE = 0.02;
+const REPEAT_SHARE = 0.15;
+const WAIT_SHARE = 0.5;
+const CRASH_SHARE = 0.002;
+
+type Pick = <T>(items: readonly T[]) => T;
+
+function randomFault(pick: Pick, random: () => number, mark: string): Step {
+  const node = pick(NODES);
+  const account = pick(ACCOUNTS);
+  const ms = Math.floor(100 + random() * 4000);
+  return pick<() => Step>([
+    () => ({ kind: 'pause', node, ms }),
+    () => ({ kind: 'restart', node }),
+    () => ({ kind: 'replace', node, ms }),
+    () => ({ kind: 'stop', node }),
+    () => ({ kind: 'leave', node }),
+    () => ({ kind: 'return', node }),
+    () => ({ kind: 'return', node }),
+    () => ({ kind: 'zone', zone: pick(ZONES), state: pick(['in', 'in', 'in', 'out'] as const) }),
+    () => ({ kind: 'withdraw', account }),
+    () => ({ kind: 'grant', account }),
+    () => ({ kind: 'grant', account }),
+    () => ({ kind: 'grant', account }),
+    () => ({ kind: 'service', state: pick(['up', 'up', 'down', 'stale'] as const) }),
+    () => ({ kind: 'cut', nodes: pick(['-a', '-b', 'back', node]), ms }),
+    () => ({ kind: 'silence', node }),
+    () => ({
+      kind: 'backend',
+      node,
+      mode: pick(['well', 'well', 'slow', 'failing', 'cold', 'crash', 'silent'] as const),
+    }),
+    () => ({ kind: 'load', node: 'any', account, route: 'deep', mark, perSecond: 200, ms: 500 }),
+  ])();
+}
+
+/**
+ * Draws the steps of a run.
+ *
+ * @param count - number of steps
+ * @param random - source of fractions
+ * @returns the steps, which depend on nothing else
+ */
+export function randomSteps(count: number, random: () => number): readonly Step[] {
+  const pick: Pick = (items) => {
+    const item = items[Math.floor(random() * items.length)];
+    if (item === undefined) throw new RangeError('nothing to pick from');
+    return item;
+  };
+  const asked: Extract<Step, { kind: 'request' }>[] = [];
+  return Array.from({ length: count }, (_, index): Step => {
+    const draw = random();
+    if (draw < FAULT_SHARE) return randomFault(pick, random, `load${index}`);
+    if (draw < WAIT_SHARE) return { kind: 'wait', ms: 1 + Math.floor(random() * 60) };
+    const node = pick(NODES);
+    if (draw < WAIT_SHARE + REPEAT_SHARE && asked.length > 0) {
+      return { ...pick(asked.slice(-20)), node };
+    }
+    const route = pick(['read', 'deep', 'order', 'order', 'open', 'item', 'leak'] as const);
+    const mark = `${random() < CRASH_SHARE ? 'crash' : 'm'}${index}`;
+    const step = { kind: 'request', node, account: pick(ACCOUNTS), route, mark } as const;
+    asked.push(step);
+    return step;
+  });
+}
--- /dev/null
+++ b/test/soak/random-runs.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { PromiseName } from '../../src/core/promises/violation.js';
+import { runSteps, stepsOf } from '../../soak/run.js';
+import type { Sabotage } from '../../soak/sabotage.js';
+import type { Step } from '../../soak/step.js';
+
+const SEEDS = [1, 2, 3, 4, 5];
+const STEPS = 800;
+
+// Guards the promises of the design page against faults in the wiring of whole nodes.
+for (const seed of SEEDS) {
+  test(`random run with seed ${seed} breaks no promise`, async () => {
+    const { breach, performed } = await runSteps(stepsOf(seed, STEPS), { seed, sabotage: null });
+    assert.equal(breach, null);
+    assert.equal(performed, STEPS);
+  });
+}
+
+// Guards against hidden sources of time and randomness, with which a trace would not replay.
+test('a seed replays to the same answers', async () => {
+  const runs = [1, 2].map(() => () => runSteps(stepsOf(6, 400), { seed: 6, sabotage: null }));
+  const results = [];
+  for (const run of runs) results.push(await run());
+  assert.deepEqual(results[0], results[1]);
+});
+
+const mill = { account: 'mill', mark: 'x' } as const;
+const anywhere = { kind: 'load', node: 'any', ...mill } as const;
+const read: Step = { ...anywhere, route: 'read', perSecond: 50, ms: 4000 };
+const deep: Step = { ...anywhere, route: 'deep', perSecond: 50, ms: 400 };
+const order: Step = { ...anywhere, route: 'order', perSecond: 50, ms: 400 };
+const wait = (ms: number): Step => ({ kind: 'wait', ms });
+const toAll = (nodes: readonly string[], mode: 'slow' | 'crash'): readonly Step[] =>
+  nodes.map((node) => ({ kind: 'backend', node, mode }));
+const fronts = ['front-a', 'front-b', 'front-c'];
+const backs = ['back-a', 'back-b', 'back-c'];
+
+/** Each deliberate fault with the promise that it breaks and the steps that show it. */
+const FAULTS: readonly (readonly [Sabotage, PromiseName, readonly Step[]])[] = [
+  ['crossed-answer', 'own-answer', [read, wait(1000)]],
+  ['false-not-run', 'not-run', [read, wait(4000)]],
+  [
+    'unseen-crash',
+    'cold-start',
+    [
+      ...toAll(fronts, 'slow'),
+      ...[read, wait(3000)],
+      ...toAll(fronts, 'crash'),
+      ...toAll(fronts, 'slow'),
+      wait(2000),
+    ],
+  ],
+  ['hidden-key', 'key-hidden', [read, wait(1000)]],
+  ['other-key', 'own-account', [read, wait(1000)]],
+  [
+    'frozen-key',
+    'key-withdrawn',
+    [{ kind: 'withdraw', account: 'mill' }, wait(6000), deep, wait(1000)],
+  ],
+  [
+    'frozen-zone',
+    'zone-out',
+    [{ kind: 'zone', zone: 'a', state: 'out' }, wait(6000), deep, wait(1000)],
+  ],
+  ['frozen-hosts', 'leaving', [{ kind: 'leave', node: 'front-a' }, wait(6000), deep, wait(1000)]],
+  ['repeated-run', 'at-most-once', [order, wait(2000)]],
+  [
+    'wrong-rate',
+    'rate-bound',
+    [{ ...anywhere, route: 'read', perSecond: 400, ms: 1000 }, wait(1000)],
+  ],
+  [
+    'wrong-retries',
+    'retry-bound',
+    [...toAll(['front-a', 'front-b', ...backs], 'crash'), deep, wait(2000)],
+  ],
+  [
+    'hasty-stop',
+    'graceful-stop',
+    [
+      ...toAll(fronts, 'slow'),
+      { kind: 'request', node: 'front-a', route: 'read', ...mill },
+      ...[wait(20), { kind: 'stop', node: 'front-a' } as const, wait(1000)],
+    ],
+  ],
+  ['lower-version', 'configuration-order', [wait(1000)]],
+];
+
+// Guards against audits that cannot fail.
+for (const [sabotage, promise, steps] of FAULTS) {
+  test(`the deliberate fault ${sabotage} breaks ${promise}`, async () => {
+    const { breach } = await runSteps(steps, { seed: 1, sabotage });
+    assert.equal(breach?.promise, promise);
+    const { breach: none } = await runSteps(steps, { seed: 1, sabotage: null });
+    assert.equal(none, null);
+  });
+}
+
+// KNOWN-RED.txt: a repeated root request makes its deeper calls again, outside of the budget.
+test(
+  'all calls of a tree are sent at most as often as there are calls and retries',
+  { todo: 'KNOWN-RED.txt: a repeated call repeats its deeper calls' },
+  async () => {
+    const steps: readonly Step[] = [
+      { ...anywhere, route: 'deep', perSecond: 100, ms: 400 },
+      ...[wait(150), { kind: 'silence', node: 'front-a' } as const],
+      ...[{ kind: 'silence', node: 'front-b' } as const, wait(2500)],
+    ];
+    const { knownRed } = await runSteps(steps, { seed: 1, sabotage: null });
+    assert.deepEqual(knownRed, []);
+  },
+);
