Test that failing random runs are shortened

Cause: a shortened trace of a failing run was shown by hand only. Change: shorten takes the deliberate fault of the run; a test shortens a run with crossed answers to at most four steps and replays them.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -29,6 +29,7 @@
   console.log(`promise broken: ${breach.promise} at ${breach.at} ms: ${breach.detail}`);
   const kept = await shorten(steps.slice(0, performed), {
     seed,
+    sabotage: null,
     limitMs: SHORTEN_MS,
     promise: breach.promise,
   });
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,4 +1,5 @@
 import type { Breach } from './audit.js';
+import type { Sabotage } from './sabotage.js';
 import { randomSteps, type Step } from './step.js';
 import { fractions, World, type WorldOptions } from './world.js';
 
@@ -43,13 +44,17 @@
 /** Drops the first steps, then ever smaller groups, while the same promise still breaks. */
 export async function shorten(
   steps: readonly Step[],
-  { seed, limitMs, promise }: { seed: number; limitMs: number; promise: string },
+  {
+    limitMs,
+    promise,
+    ...options
+  }: { limitMs: number; promise: string; seed: number; sabotage: Sabotage | null },
 ): Promise<readonly Step[]> {
   const end = Date.now() + limitMs;
   let kept = steps;
   const tryFewer = async (fewer: readonly Step[]): Promise<boolean> => {
     if (Date.now() >= end) return false;
-    const { breach, performed } = await runSteps(fewer, { seed, sabotage: null });
+    const { breach, performed } = await runSteps(fewer, options);
     if (breach?.promise !== promise) return false;
     kept = fewer.slice(0, performed);
     return true;
--- a/test/soak/random-runs.test.ts
+++ b/test/soak/random-runs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { PromiseName } from '../../src/core/promises/violation.js';
-import { runSteps, stepsOf } from '../../soak/run.js';
+import { runSteps, shorten, stepsOf } from '../../soak/run.js';
 import type { Sabotage } from '../../soak/sabotage.js';
 import type { Step } from '../../soak/step.js';
 
@@ -97,6 +97,15 @@
   });
 }
 
+// Guards against traces that are too long to read or that do not show the failure again.
+test('a failing run is shortened to a few steps that fail in the same way', async () => {
+  const options = { seed: 1, sabotage: 'crossed-answer' } as const;
+  const steps = stepsOf(1, 200);
+  const kept = await shorten(steps, { ...options, promise: 'own-answer', limitMs: 20_000 });
+  assert.ok(kept.length <= 4, JSON.stringify(kept));
+  assert.equal((await runSteps(kept, options)).breach?.promise, 'own-answer');
+});
+
 // KNOWN-RED.txt: a repeated root request makes its deeper calls again, outside of the budget.
 test(
   'all calls of a tree are sent at most as often as there are calls and retries',
