--- a/src/core/admission/gate.ts
+++ b/src/core/admission/gate.ts
@@ -97,10 +97,10 @@
 function expectedWaitMs(state: Admissions, queued: QueuedCall): Milliseconds {
   const limit = gateLimit(state);
   if (state.running.size < limit) return 0;
-  const capacity = capacityPerSecond(state.rate, limit);
-  return capacity === null
-    ? 0
-    : (callsAhead(state.queue, queued, state.weights) * 1_000) / capacity;
+  // Times of ended calls, since slot time without completions makes a server that has just taken
+  // up work look slow; such calls were refused as too late right after a zone came back.
+  const runTimeMs = state.runTimes.get(queued.call.route) ?? 0;
+  return (callsAhead(state.queue, queued, state.weights) * runTimeMs) / limit;
 }
 
 function assertDispatch(state: Admissions, queued: QueuedCall): readonly Violation[] {
