Keep keys in more places from backend servers

Cause: a published key that stood only in the body, in base64 after a name ("token=BASE64") in a header, or in base64 in the query reached the backend server.

--- a/src/core/pipeline/withhold-key.ts
+++ b/src/core/pipeline/withhold-key.ts
@@ -30,11 +30,18 @@
     .some((word) => lookup.accountOfKeyHash(hashKey(word)) !== null);
 }
 
+/**
+ * Runs of base64 characters. A slash may belong to the text around the key, as in a URL, so that
+ * runs without one are tried as well.
+ */
+function base64Words(text: string): readonly string[] {
+  return [...(text.match(/[\w+/-]{24,}/g) ?? []), ...(text.match(/[\w+-]{24,}/g) ?? [])];
+}
+
 function isBase64OfKey(text: string, key: string | null, lookup: Lookup): boolean {
-  return text
-    .split(/[\s,;]+/)
-    .filter((word) => word.length >= MIN_KEY_CHARACTERS && /^[\w+/-]+=*$/.test(word))
-    .some((word) => containsKey(Buffer.from(word, 'base64').toString('latin1'), key, lookup));
+  return base64Words(text).some((word) =>
+    containsKey(Buffer.from(word, 'base64').toString('latin1'), key, lookup),
+  );
 }
 
 function leaks(text: string, key: string | null, lookup: Lookup): boolean {
@@ -46,6 +53,12 @@
   );
 }
 
+/** A text that is too short for a key is no key, and occurs in bodies by chance. */
+function bodyContainsKey(body: Uint8Array, key: string | null, lookup: Lookup): boolean {
+  const sought = key !== null && key.length >= MIN_KEY_CHARACTERS ? key : null;
+  return containsKey(Buffer.from(body).toString('latin1'), sought, lookup);
+}
+
 function cleanQuery(query: string, key: string | null, lookup: Lookup): string {
   if (query === '') return query;
   const kept = query
@@ -69,8 +82,7 @@
     if (lookup === null) return err(refusal('notReady'));
     const { key } = request.credentials;
     if (leaks(request.path, key, lookup)) return err(refusal('keyMisplaced'));
-    const hasKeyInBody =
-      key !== null && key.length >= MIN_KEY_CHARACTERS && Buffer.from(request.body).includes(key);
+    const hasKeyInBody = bodyContainsKey(request.body, key, lookup);
     if (hasKeyInBody) return err(refusal('keyMisplaced'));
     const isClean = ([name, value]: Header): boolean =>
       !leaks(name, key, lookup) && !leaks(value, key, lookup);
