Do not call a request not run after an earlier send that ran

Cause: when an idempotent call failed at every gate, or failed at one gate and was refused by the next, the caller got the refusal (2107 or 2106) with almondhoist-not-run, although backend servers had run the call.

Change: the outcome of all sends so far goes along with the attempts; a refusal does not replace an outcome that may have run, and the last refusal of a gate replaces "no backend server". Tests over real nodes: answers that are cut short, malformed, late or missing, sheds with and without x-not-run, crossed answers, and callers that go away.

--- a/src/core/pipeline/next-attempt.ts
+++ b/src/core/pipeline/next-attempt.ts
@@ -15,13 +15,20 @@
 /** How sending goes on after an attempt. */
 export type NextAttempt =
   | { readonly kind: 'finish'; readonly outcome: Outcome }
-  | { readonly kind: 'send-again'; readonly excluded: BackendServerName };
+  | {
+      readonly kind: 'send-again';
+      readonly excluded: BackendServerName;
+      /** Outcome of all sends so far, in case no other gate can be tried. */
+      readonly outcome: Outcome;
+    };
 
 /** What is known when an attempt has ended. */
 export interface AttemptReview {
   readonly call: Call;
   readonly backendServer: BackendServerName;
   readonly attempt: Attempt;
+  /** Outcome of the sends before this one; null for the first. */
+  readonly earlier: Outcome | null;
   /** 1 for the first send of the call. */
   readonly number: number;
   /** Extra sends that are left for this call. */
@@ -69,6 +76,15 @@
   }
 }
 
+/**
+ * A refusal says that the call did not run, which is not true after an earlier send that may have
+ * run.
+ */
+function joinOutcomes(earlier: Outcome | null, last: Outcome): Outcome {
+  const isRefused = last.kind === 'refused';
+  return isRefused && earlier !== null && earlier.kind !== 'refused' ? earlier : last;
+}
+
 function mayRunAgain(call: Call, outcome: Outcome, number: number): boolean {
   switch (outcome.kind) {
     case 'refused':
@@ -89,11 +105,12 @@
  * @returns to finish with an outcome, or to send again without the backend server just tried
  */
 export function nextAttempt(review: AttemptReview): NextAttempt {
-  const { call, attempt, number, retriesLeft, now } = review;
-  const outcome = outcomeOf(attempt);
+  const { call, attempt, earlier, number, retriesLeft, now } = review;
+  const last = outcomeOf(attempt);
+  const outcome = joinOutcomes(earlier, last);
   const hasTime = now + MIN_ATTEMPT_MS < call.deadline;
-  if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome, number)) {
-    return { kind: 'send-again', excluded: review.backendServer };
+  if (retriesLeft > 0 && hasTime && mayRunAgain(call, last, number)) {
+    return { kind: 'send-again', excluded: review.backendServer, outcome };
   }
   return { kind: 'finish', outcome };
 }
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -36,12 +36,20 @@
   readonly retriesSpent: number;
   readonly excluded: ReadonlySet<BackendServerName>;
   readonly feedback: readonly Feedback[];
+  /** Outcome of all sends so far; null before the first. */
+  readonly outcome: Outcome | null;
 }
 
 /** A first call to a service opens links; waiting that long for one beats a refusal. */
 const CANDIDATE_WAIT_MS = 300;
 
-const START: Progress = { number: 1, retriesSpent: 0, excluded: new Set(), feedback: [] };
+const START: Progress = {
+  number: 1,
+  retriesSpent: 0,
+  excluded: new Set(),
+  feedback: [],
+  outcome: null,
+};
 
 function subjectOf(call: Call): Subject {
   const { requestId, rootId, caller, service } = call;
@@ -98,7 +106,11 @@
     const choice = await this.#choose(call, progress);
     if (choice === null) {
       return {
-        outcome: { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 },
+        outcome: progress.outcome ?? {
+          kind: 'refused',
+          code: 'noBackendServer',
+          retryAfterMs: 0,
+        },
         retriesSpent: progress.retriesSpent,
         feedback: progress.feedback,
       };
@@ -128,9 +140,9 @@
   ): Promise<Placed> {
     const { clock, metrics } = this.#options;
     const retriesLeft = call.retries - progress.retriesSpent;
-    const { number } = progress;
+    const { number, outcome: earlier } = progress;
     const now = clock.now();
-    const next = nextAttempt({ call, backendServer, attempt, number, retriesLeft, now });
+    const next = nextAttempt({ call, backendServer, attempt, earlier, number, retriesLeft, now });
     switch (next.kind) {
       case 'finish':
         return {
@@ -145,6 +157,7 @@
           retriesSpent: progress.retriesSpent + 1,
           excluded: new Set([...progress.excluded, next.excluded]),
           feedback: progress.feedback,
+          outcome: next.outcome,
         });
     }
   }
--- a/test/runtime/mesh.ts
+++ b/test/runtime/mesh.ts
@@ -1,5 +1,4 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ROARR } from 'roarr';
@@ -19,8 +18,9 @@
 export const ACCOUNT_KEY = 'ah_test-key-of-workshop-paisley-0123456789';
 export const PEER_SECRET = 'secret-of-the-test-fleet-0123456789';
 export const MAX_BODY_BYTES = 4096;
-/** Deadline of all routes. */
-export const DEADLINE_MS = 900;
+/** Deadline of the routes that end at their deadline in a test. */
+const SHORT_DEADLINE_MS = 300;
+const DEADLINE_MS = 10_000;
 
 /** Answers one request at a backend server; the body has been read. */
 export type Handler = (
@@ -100,9 +100,10 @@
   throw new Error(`no ${what} after ${POLL_LIMIT * POLL_INTERVAL_MS} ms`);
 }
 
-function route(name: string, rest: Pick<Route, 'method' | 'path' | 'idempotent'>): Route {
+function route(line: string, idempotent: boolean, rest: Partial<Route> = {}): Route {
+  const [name = '', method = '', path = ''] = line.split(' ');
   const common = { importance: 'normal', deadlineMs: DEADLINE_MS, retries: 2 } as const;
-  return { name, service: 'desk', access: 'open', ...common, ...rest };
+  return { name, service: 'desk', method, path, idempotent, access: 'open', ...common, ...rest };
 }
 
 /**
@@ -131,13 +132,13 @@
       },
     ],
     routes: [
-      route('read', { method: 'GET', path: '/read/*', idempotent: true }),
-      route('check', { method: 'POST', path: '/check/*', idempotent: true }),
-      route('order', { method: 'POST', path: '/orders/*', idempotent: false }),
-      {
-        ...route('keyed', { method: 'POST', path: '/keyed/*', idempotent: true }),
-        access: 'keyed',
-      },
+      route('read GET /read/*', true),
+      route('front-read GET /read/*', true, { service: 'front' }),
+      route('check POST /check/*', true),
+      route('order POST /orders/*', false),
+      route('late-read GET /late/*', true, { deadlineMs: SHORT_DEADLINE_MS }),
+      route('late-order POST /late-orders/*', false, { deadlineMs: SHORT_DEADLINE_MS }),
+      route('keyed POST /keyed/*', true, { access: 'keyed' }),
     ],
   };
 }
@@ -310,11 +311,13 @@
 }
 
 /**
- * Tells the port on which a server listens.
+ * Asks for an order identifier.
  *
- * @param server - a listening server
- * @returns the port
+ * @param mesh - the mesh
+ * @returns an identifier of which the entry is the home
  */
-export function portOf(server: Server): number {
-  return (server.address() as AddressInfo).port;
+export async function newOrderId(mesh: Mesh): Promise<string> {
+  const { orderId } = await mesh.send('/almondhoist/orders', { method: 'POST' });
+  if (orderId === null) throw new Error('the entry issued no order identifier');
+  return orderId;
 }
