Give requests that cannot be parsed a result code

Cause: a request line, header, chunk or host that is no HTTP, and headers over the limit, were answered by the HTTP libraries with 400 or 431 and without a code or a log line.

Change: the caller listener refuses them with 2006 or 2007, never with "not run", since the unread headers may name an order. Nothing is written while a whole request runs on the same connection, where it would be taken for its answer.

--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -1,5 +1,12 @@
-import { createServer as createHttpServer, type Server } from 'node:http';
+import {
+  createServer as createHttpServer,
+  STATUS_CODES,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { createServer as createHttpsServer } from 'node:https';
+import type { Duplex } from 'node:stream';
 import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import { resultCode } from '../core/errors/registry.js';
@@ -19,6 +26,8 @@
   readonly handle: (request: RawRequest) => Promise<EntryReply>;
   /** Refuses a request whose body is not read to its end. */
   readonly refuseTooLarge: (request: RawRequest) => EntryReply;
+  /** Refuses a request that is no HTTP. */
+  readonly refuseMalformed: (request: RawRequest) => EntryReply;
   /** Issues an order identifier to the caller of the request. */
   readonly issueOrder: (request: RawRequest) => EntryReply;
   /** The caller closed its connection before the answer. */
@@ -32,16 +41,27 @@
 const MAX_HEADER_BYTES = 32_768;
 const MAX_REQUESTS_PER_SOCKET = 0;
 
-type Body = { readonly kind: 'read'; readonly bytes: Uint8Array } | { readonly kind: 'too-large' };
+/** Error code of the HTTP parser for headers over the limit. */
+const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+
+type Body =
+  | { readonly kind: 'read'; readonly bytes: Uint8Array }
+  | { readonly kind: 'too-large' }
+  /** The caller went away, or the rest of the body could not be read as HTTP. */
+  | { readonly kind: 'broken' };
 
 async function readBody(context: CallerContext, maxBytes: number): Promise<Body> {
   const { incoming } = context.env;
   const chunks: Buffer[] = [];
   let length = 0;
-  for await (const chunk of incoming as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) return { kind: 'too-large' };
-    chunks.push(chunk);
+  try {
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > maxBytes) return { kind: 'too-large' };
+      chunks.push(chunk);
+    }
+  } catch {
+    return { kind: 'broken' };
   }
   return { kind: 'read', bytes: Buffer.concat(chunks) };
 }
@@ -53,6 +73,20 @@
   );
 }
 
+/** Writes an answer on a connection on which no request could be read. */
+function writeReply(socket: Duplex, reply: EntryReply): void {
+  const head = [
+    `HTTP/1.1 ${reply.status} ${STATUS_CODES[reply.status] ?? ''}`,
+    'connection: close',
+    `content-length: ${reply.body.length}`,
+    ...reply.headers.map(([name, value]) => `${name}: ${value}`),
+    `almondhoist-request-id: ${reply.requestId}`,
+    `almondhoist-code: ${resultCode(reply.code).number}`,
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  socket.end(reply.body);
+}
+
 function toResponse(reply: EntryReply, isStopping: boolean): Response {
   const headers = new Headers(
     reply.headers.map(([name, value]): [string, string] => [name, value]),
@@ -76,6 +110,9 @@
 
   readonly server: Server;
 
+  /** Requests without a whole answer by connection; with pipelining there may be several. */
+  readonly #open = new WeakMap<Duplex, readonly IncomingMessage[]>();
+
   /**
    * @param options - TLS, limits and the node's handlers
    */
@@ -85,14 +122,56 @@
     app.post('/almondhoist/orders', (context) => this.#issueOrder(context));
     app.all('*', (context) => this.#handle(context));
     // The library's own Response class, which it installs, is written without a stream.
-    const listener = getRequestListener((request, env) => app.fetch(request, env));
+    const listener = getRequestListener((request, env) => app.fetch(request, env), {
+      errorHandler: () => toResponse(this.#refuseUnread('requestMalformed'), true),
+    });
     const { tls } = options;
-    const settings = { maxHeaderSize: MAX_HEADER_BYTES };
+    // The listener below refuses a request without a host with a code.
+    const settings = { maxHeaderSize: MAX_HEADER_BYTES, requireHostHeader: false };
     this.server =
       tls === null
         ? createHttpServer(settings, listener)
         : createHttpsServer({ ...settings, cert: tls.cert, key: tls.key }, listener);
     this.server.maxRequestsPerSocket = MAX_REQUESTS_PER_SOCKET;
+    this.server.on('request', (incoming, outgoing) => this.#track(incoming, outgoing));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
+      this.#refuseUnparsed(error, socket),
+    );
+  }
+
+  #track(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const { socket } = incoming;
+    this.#open.set(socket, [...(this.#open.get(socket) ?? []), incoming]);
+    outgoing.once('close', () => {
+      const others = (this.#open.get(socket) ?? []).filter((other) => other !== incoming);
+      this.#open.set(socket, others);
+    });
+  }
+
+  #refuseUnparsed({ code }: NodeJS.ErrnoException, socket: Duplex): void {
+    // Bytes written now would be taken for the answer to a whole request that may be running.
+    const isRunning = (this.#open.get(socket) ?? []).some(({ complete }) => complete);
+    if (isRunning || !socket.writable || code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const isTooLarge = code === HEADER_OVERFLOW;
+    writeReply(socket, this.#refuseUnread(isTooLarge ? 'requestTooLarge' : 'requestMalformed'));
+  }
+
+  /** Unread headers may name an order that has run, so that the refusal is no "not run". */
+  #refuseUnread(code: 'requestTooLarge' | 'requestMalformed'): EntryReply {
+    const { clock, newRequestId, refuseTooLarge, refuseMalformed } = this.#options;
+    const request: RawRequest = {
+      requestId: newRequestId(),
+      receivedAt: clock.now(),
+      method: '',
+      target: '',
+      headers: [],
+      body: new Uint8Array(),
+    };
+    const refuse = code === 'requestTooLarge' ? refuseTooLarge : refuseMalformed;
+    return { ...refuse(request), isNotRun: false };
   }
 
   #rawRequest(context: CallerContext, body: Uint8Array): RawRequest {
@@ -113,6 +192,9 @@
     switch (body.kind) {
       case 'too-large':
         return this.#refuseTooLarge(context);
+      case 'broken':
+        // Nobody reads this answer; the connection is closed or was answered by the parser.
+        return new Response(null, { status: 400 });
       case 'read': {
         const request = this.#rawRequest(context, body.bytes);
         const { outgoing } = context.env;
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -346,6 +346,7 @@
       newRequestId: () => this.#ids.next(),
       handle: (request) => this.#entry.handle(request),
       refuseTooLarge: (request) => this.#entry.refuse(request, refusal('requestTooLarge')),
+      refuseMalformed: (request) => this.#entry.refuse(request, refusal('requestMalformed')),
       issueOrder: (request) => this.#issueOrder(request),
       abandoned: (requestId) => this.#entry.cancel(requestId),
       isStopping: () => this.#isStopping,
--- a/test/runtime/caller-listener.test.ts
+++ b/test/runtime/caller-listener.test.ts
@@ -29,6 +29,7 @@
     },
     handle: unexpected,
     refuseTooLarge: (raw) => entry.refuse(raw, refusal('requestTooLarge')),
+    refuseMalformed: unexpected,
     issueOrder: unexpected,
     abandoned: () => {},
     isStopping: () => false,
--- a/test/runtime/service-client.test.ts
+++ b/test/runtime/service-client.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
 import { test } from 'node:test';
 import { request } from 'undici';
 import { bundleDocument } from '../../src/core/configuration/bundle.js';
@@ -38,3 +39,20 @@
   });
   assert.deepEqual(reply, { kind: 'value', topic: 'configuration', document });
 });
+
+test('a value over 1 MB is refused', async (context) => {
+  // Guards against a published value that is larger than what the service may hold.
+  const server = createServer((_, response) => response.end('x'.repeat(1_000_001)));
+  const url = `http://127.0.0.1:${await listen(server, 0)}`;
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const reply = await new Promise<ServiceReply>((resolve) => {
+    const client = new ServiceClient([url], resolve);
+    context.after(() => client.close());
+    client.read('configuration');
+  });
+  const reason = 'value over 1000000 bytes';
+  assert.deepEqual(reply, { kind: 'failed', topic: 'configuration', reason });
+});
