--- a/src/core/pipeline/next-attempt.ts
+++ b/src/core/pipeline/next-attempt.ts
@@ -18,7 +18,8 @@
   | {
       readonly kind: 'send-again';
       readonly excluded: BackendServerName;
-      readonly mayHaveRun: Outcome | null;
+      /** Outcome of all sends so far, in case no other gate can be tried. */
+      readonly outcome: Outcome;
     };
 
 /** What is known when an attempt has ended. */
@@ -26,8 +27,8 @@
   readonly call: Call;
   readonly backendServer: BackendServerName;
   readonly attempt: Attempt;
-  /** Outcome of the last earlier send that may have run; null when none has. */
-  readonly mayHaveRun: Outcome | null;
+  /** Outcome of the sends before this one; null for the first. */
+  readonly earlier: Outcome | null;
   /** 1 for the first send of the call. */
   readonly number: number;
   /** Extra sends that are left for this call. */
@@ -75,6 +76,15 @@
   }
 }
 
+/**
+ * A refusal says that the call did not run, which is not true after an earlier send that may have
+ * run.
+ */
+function joinOutcomes(earlier: Outcome | null, last: Outcome): Outcome {
+  const isRefused = last.kind === 'refused';
+  return isRefused && earlier !== null && earlier.kind !== 'refused' ? earlier : last;
+}
+
 function mayRunAgain(call: Call, outcome: Outcome, number: number): boolean {
   switch (outcome.kind) {
     case 'refused':
@@ -86,24 +96,6 @@
   }
 }
 
-/**
- * Finds what a call ends with. A refusal of the last send says nothing about the sends before
- * it, so one that may have run takes its place.
- *
- * @param last - outcome of the last send
- * @param mayHaveRun - outcome of the last send that may have run, or null
- * @returns the outcome of the call as a whole
- */
-export function finalOutcome(last: Outcome, mayHaveRun: Outcome | null): Outcome {
-  switch (last.kind) {
-    case 'refused':
-      return mayHaveRun ?? last;
-    case 'failed':
-    case 'answered':
-      return last;
-  }
-}
-
 /**
  * Decides whether a call is sent to another gate. A refusal did not run, so any call may go
  * elsewhere; whatever may have run is repeated only when it is idempotent. Each further send
@@ -113,12 +105,12 @@
  * @returns to finish with an outcome, or to send again without the backend server just tried
  */
 export function nextAttempt(review: AttemptReview): NextAttempt {
-  const { call, attempt, number, retriesLeft, now } = review;
-  const outcome = outcomeOf(attempt);
+  const { call, attempt, earlier, number, retriesLeft, now } = review;
+  const last = outcomeOf(attempt);
+  const outcome = joinOutcomes(earlier, last);
   const hasTime = now + MIN_ATTEMPT_MS < call.deadline;
-  if (retriesLeft > 0 && hasTime && mayRunAgain(call, outcome, number)) {
-    const mayHaveRun = outcome.kind === 'refused' ? review.mayHaveRun : outcome;
-    return { kind: 'send-again', excluded: review.backendServer, mayHaveRun };
+  if (retriesLeft > 0 && hasTime && mayRunAgain(call, last, number)) {
+    return { kind: 'send-again', excluded: review.backendServer, outcome };
   }
-  return { kind: 'finish', outcome: finalOutcome(outcome, review.mayHaveRun) };
+  return { kind: 'finish', outcome };
 }
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -3,7 +3,7 @@
 import type { BackendServerName, RegionName, ServiceName, ZoneName } from '../core/model/names.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 import type { Candidate } from '../core/membership/membership-message.js';
-import { finalOutcome, nextAttempt, type Attempt } from '../core/pipeline/next-attempt.js';
+import { nextAttempt, type Attempt } from '../core/pipeline/next-attempt.js';
 import { reportAll, type Report } from '../core/promises/report.js';
 import { assertPromise } from '../core/promises/violation.js';
 import { chooseBackendServer, type Choice } from '../core/routing/route-choice.js';
@@ -35,9 +35,9 @@
   readonly number: number;
   readonly retriesSpent: number;
   readonly excluded: ReadonlySet<BackendServerName>;
-  /** Outcome of the last send that may have run; null when none has. */
-  readonly mayHaveRun: Outcome | null;
   readonly feedback: readonly Feedback[];
+  /** Outcome of all sends so far; null before the first. */
+  readonly outcome: Outcome | null;
 }
 
 /** A first call to a service opens links; waiting that long for one beats a refusal. */
@@ -47,12 +47,10 @@
   number: 1,
   retriesSpent: 0,
   excluded: new Set(),
-  mayHaveRun: null,
   feedback: [],
+  outcome: null,
 };
 
-const NO_BACKEND_SERVER: Outcome = { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 };
-
 function subjectOf(call: Call): Subject {
   const { requestId, rootId, caller, service } = call;
   return { requestId, rootId, caller, service };
@@ -108,7 +106,11 @@
     const choice = await this.#choose(call, progress);
     if (choice === null) {
       return {
-        outcome: finalOutcome(NO_BACKEND_SERVER, progress.mayHaveRun),
+        outcome: progress.outcome ?? {
+          kind: 'refused',
+          code: 'noBackendServer',
+          retryAfterMs: 0,
+        },
         retriesSpent: progress.retriesSpent,
         feedback: progress.feedback,
       };
@@ -138,10 +140,9 @@
   ): Promise<Placed> {
     const { clock, metrics } = this.#options;
     const retriesLeft = call.retries - progress.retriesSpent;
-    const { mayHaveRun, number } = progress;
+    const { number, outcome: earlier } = progress;
     const now = clock.now();
-    const review = { call, backendServer, attempt, mayHaveRun, number, retriesLeft, now };
-    const next = nextAttempt(review);
+    const next = nextAttempt({ call, backendServer, attempt, earlier, number, retriesLeft, now });
     switch (next.kind) {
       case 'finish':
         return {
@@ -155,8 +156,8 @@
           number: progress.number + 1,
           retriesSpent: progress.retriesSpent + 1,
           excluded: new Set([...progress.excluded, next.excluded]),
-          mayHaveRun: next.mayHaveRun,
           feedback: progress.feedback,
+          outcome: next.outcome,
         });
     }
   }
--- a/test/core/pipeline/next-attempt.test.ts
+++ b/test/core/pipeline/next-attempt.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Outcome } from '../../../src/core/model/call.js';
-import { finalOutcome, nextAttempt } from '../../../src/core/pipeline/next-attempt.js';
+import { nextAttempt } from '../../../src/core/pipeline/next-attempt.js';
 import { call } from '../admission/fixtures.js';
 
 const refused: Outcome = { kind: 'refused', code: 'noBackendServer', retryAfterMs: 0 };
@@ -15,22 +15,21 @@
     backendServer: 'one',
     now: 0,
     number: 1,
-    mayHaveRun: null,
+    earlier: null,
   } as const;
   const next = nextAttempt({
     ...review,
     attempt: { kind: 'lost', code: 'linkLost' },
     retriesLeft: 1,
   });
-  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', mayHaveRun: lost });
+  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', outcome: lost });
   const last = nextAttempt({
     ...review,
-    mayHaveRun: lost,
+    earlier: lost,
     attempt: { kind: 'unsent' },
     retriesLeft: 0,
   });
   assert.deepEqual(last, { kind: 'finish', outcome: lost });
-  assert.deepEqual(finalOutcome(refused, lost), lost);
 });
 
 // Guards against a loss of true refusals: a call that no gate took did not run.
@@ -41,11 +40,11 @@
     backendServer: 'one',
     now: 0,
     number: 1,
-    mayHaveRun: null,
+    earlier: null,
     attempt,
   };
   const next = nextAttempt({ ...review, retriesLeft: 1 });
-  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', mayHaveRun: null });
+  assert.deepEqual(next, { kind: 'send-again', excluded: 'one', outcome: refused });
   assert.deepEqual(nextAttempt({ ...review, retriesLeft: 0 }), {
     kind: 'finish',
     outcome: refused,
