Share the code, success and log subject of calls between tasks

The gate, the entry, placement and the root watch each had their own copy of one or two of these functions.

--- a/src/runtime/entry-task.ts
+++ b/src/runtime/entry-task.ts
@@ -1,8 +1,10 @@
 import type { ResultAsync } from 'neverthrow';
 import { resultCode, type CodeName } from '../core/errors/registry.js';
-import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Log } from '../core/logs/log-entry.js';
+import { subjectOf } from '../core/logs/subject.js';
 import type { Call, Caller, Header, Outcome } from '../core/model/call.js';
 import type { RequestId } from '../core/model/names.js';
+import { codeOf, hasSucceeded } from '../core/model/outcome.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 import {
   refusal,
@@ -45,15 +47,7 @@
 }
 
 const CREATED = 201;
-const MIN_SERVER_ERROR = 500;
-
-function hasSucceeded(outcome: Outcome): boolean {
-  return outcome.kind === 'answered' && outcome.status < MIN_SERVER_ERROR;
-}
-
-function codeOf(outcome: Outcome): CodeName {
-  return outcome.kind === 'answered' ? 'ok' : outcome.code;
-}
+const INTERNAL_ERROR = 500;
 
 function bodyOf(requestId: RequestId, code: CodeName): Uint8Array {
   const { number, title, message, hint } = resultCode(code);
@@ -229,7 +223,7 @@
     return {
       requestId,
       code,
-      status: resultCode(code).httpStatus ?? MIN_SERVER_ERROR,
+      status: resultCode(code).httpStatus ?? INTERNAL_ERROR,
       headers: [['content-type', 'application/json']],
       body: bodyOf(requestId, code),
       isNotRun: options.isNotRun,
@@ -239,9 +233,7 @@
   }
 
   #logAnswer(call: Call, { code, status }: EntryReply, request: RawRequest): void {
-    const { requestId, rootId, caller, service } = call;
-    const subject: Subject = { requestId, rootId, caller, service };
     const durationMs = this.#options.clock.now() - request.receivedAt;
-    this.#options.log.write({ kind: 'entry-answer', ...subject, code, status, durationMs });
+    this.#options.log.write({ kind: 'entry-answer', ...subjectOf(call), code, status, durationMs });
   }
 }
--- a/src/runtime/gate-task.ts
+++ b/src/runtime/gate-task.ts
@@ -1,11 +1,13 @@
 import { decideGate } from '../core/admission/gate.js';
 import type { DispatchEnd, GateEffect, GateMessage } from '../core/admission/gate-message.js';
 import { gateLoad, initialAdmissions, type Admissions } from '../core/admission/gate-state.js';
-import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Log } from '../core/logs/log-entry.js';
+import { subjectOf } from '../core/logs/subject.js';
 import type { Answer, Call, Feedback, Header, Outcome } from '../core/model/call.js';
 import type { BackendServer } from '../core/model/configuration.js';
 import type { GateState, Load } from '../core/model/load.js';
 import type { AccountName, RequestId } from '../core/model/names.js';
+import { codeOf } from '../core/model/outcome.js';
 import type { Clock } from '../core/model/time.js';
 import type { ContextHandles } from '../core/pipeline/context-handle.js';
 import type { Report } from '../core/promises/report.js';
@@ -59,15 +61,6 @@
 
 const NO_REPORT: Omit<RunReport, 'requestId'> = { retriesSpent: 0, ownLatencyMs: 0, feedback: [] };
 
-function subjectOf(call: Call): Subject {
-  const { requestId, rootId, caller, service } = call;
-  return { requestId, rootId, caller, service };
-}
-
-function codeOf(outcome: Outcome) {
-  return outcome.kind === 'answered' ? 'ok' : outcome.code;
-}
-
 /** Owner of the backend server: admits calls, sends them and answers their senders. */
 export class GateTask {
   readonly #options: GateTaskOptions;
--- a/src/runtime/placement.ts
+++ b/src/runtime/placement.ts
@@ -1,4 +1,5 @@
-import type { Log, Subject } from '../core/logs/log-entry.js';
+import type { Log } from '../core/logs/log-entry.js';
+import { subjectOf } from '../core/logs/subject.js';
 import type { Call, Feedback, Outcome } from '../core/model/call.js';
 import type { BackendServerName, RegionName, ServiceName, ZoneName } from '../core/model/names.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
@@ -51,11 +52,6 @@
   outcome: null,
 };
 
-function subjectOf(call: Call): Subject {
-  const { requestId, rootId, caller, service } = call;
-  return { requestId, rootId, caller, service };
-}
-
 /** Owner of the calls that this node has sent to gates; chooses, sends and sends again. */
 export class Placement {
   readonly #options: PlacementOptions;
--- a/src/runtime/root-watch.ts
+++ b/src/runtime/root-watch.ts
@@ -1,6 +1,7 @@
 import type { Call, Caller } from '../core/model/call.js';
 import type { Route } from '../core/model/configuration.js';
 import type { AccountName } from '../core/model/names.js';
+import { hasSucceeded } from '../core/model/outcome.js';
 import type { Clock } from '../core/model/time.js';
 import {
   admitFractionFor,
@@ -18,7 +19,6 @@
 import type { Placed } from './placement.js';
 
 const PRUNE_INTERVAL_MS = 5000;
-const MIN_SERVER_ERROR = 500;
 
 /** Owner of what an entry learns from the ends of its root requests. */
 export class RootWatch {
@@ -75,8 +75,11 @@
     const { route, caller, fingerprint } = call;
     const now = this.#clock.now();
     this.#pressure = recordFeedback(this.#pressure, { route, caller, feedback, now });
-    const hasSucceeded = outcome.kind === 'answered' && outcome.status < MIN_SERVER_ERROR;
-    this.#retries = recordRootResult(this.#retries, { caller, fingerprint, now }, hasSucceeded);
+    this.#retries = recordRootResult(
+      this.#retries,
+      { caller, fingerprint, now },
+      hasSucceeded(outcome),
+    );
   }
 
   /** Stops the timer. */
