Divide quotas by what nodes report, with stand-ins and tests for the platform

Cause: shares that were set anew with each report never let a node with a small share collect a whole token, and small accounts were refused a tenth of what one bucket for the fleet would admit. Ruled out: reports more often than every 250 ms; larger shares for all. Now a calm account's tokens may be used where they are needed, a busy one is divided by demand and corrected by the tokens left, and the aggregator tells all nodes which accounts exceed their rate.

--- a/src/core/quota/aggregator.ts
+++ b/src/core/quota/aggregator.ts
@@ -3,12 +3,12 @@
 import type { QuotaAccount } from '../policy/policy.js';
 import type { Total, Usage } from './usage.js';
 
-/** Time over which demand is averaged. */
-const DEMAND_WINDOW_MS: Milliseconds = 1000;
+/** Time constant over which demand is averaged. */
+const DEMAND_TIME_CONSTANT_MS: Milliseconds = 1500;
 
-/** Demand of one node for one account. */
-interface NodeDemand {
-  readonly perSecond: number;
+/** Demand as a count that decays exponentially, so that few requests are not overrated. */
+interface Demand {
+  readonly count: number;
   readonly at: Instant;
 }
 
@@ -16,7 +16,8 @@
 interface AccountTotal {
   readonly tokens: number;
   readonly refilledAt: Instant;
-  readonly demands: ReadonlyMap<string, NodeDemand>;
+  readonly all: Demand;
+  readonly byNode: ReadonlyMap<string, Demand>;
 }
 
 /** State of the node that adds up what all nodes report; it is lost and rebuilt with the node. */
@@ -25,21 +26,22 @@
 /** An aggregator that has heard nothing. */
 export const emptyAggregator: AggregatorState = new Map();
 
+const NO_DEMAND: Demand = { count: 0, at: 0 };
+
+function countNow({ count, at }: Demand, now: Instant): number {
+  return count * Math.exp((at - now) / DEMAND_TIME_CONSTANT_MS);
+}
+
+function addDemand(before: Demand, demanded: number, now: Instant): Demand {
+  return { count: countNow(before, now) + demanded, at: now };
+}
+
 function refilled(total: AccountTotal | undefined, account: QuotaAccount, now: Instant): number {
   if (total === undefined) return account.burst;
   const gained = ((now - total.refilledAt) / 1000) * account.ratePerSecond;
   return Math.min(account.burst, total.tokens + gained);
 }
 
-function nextDemand(before: NodeDemand | undefined, demanded: number, now: Instant): NodeDemand {
-  const elapsedMs = Math.max(1, Math.min(DEMAND_WINDOW_MS, now - (before?.at ?? 0)));
-  const sample = (demanded * 1000) / elapsedMs;
-  const weight = elapsedMs / DEMAND_WINDOW_MS;
-  const perSecond =
-    before === undefined ? sample : before.perSecond + (sample - before.perSecond) * weight;
-  return { perSecond, at: now };
-}
-
 /** What a report changes and what its sender is told. */
 export interface AggregatorStep {
   readonly state: AggregatorState;
@@ -68,20 +70,35 @@
     const account = accounts.get(name);
     if (account === undefined || account.ratePerSecond === 0) return [];
     const before = next.get(name);
-    const fresh = [...(before?.demands ?? [])].filter(
-      ([, { at }]) => now - at < 2 * DEMAND_WINDOW_MS,
-    );
-    const demands = new Map(fresh);
-    const own = nextDemand(before?.demands.get(node), demanded, now);
-    demands.set(node, own);
+    const own = addDemand(before?.byNode.get(node) ?? NO_DEMAND, demanded, now);
+    const all = addDemand(before?.all ?? NO_DEMAND, demanded, now);
     const tokens = refilled(before, account, now) - admitted;
-    next.set(name, { tokens, refilledAt: now, demands });
-    const demandPerSecond = [...demands.values()].reduce(
-      (sum, { perSecond }) => sum + perSecond,
-      0,
-    );
-    const share = demandPerSecond === 0 ? 0 : own.perSecond / demandPerSecond;
-    return [{ account: name, tokens, demandPerSecond, share }];
+    const byNode = new Map(before?.byNode).set(node, own);
+    next.set(name, { tokens, refilledAt: now, all, byNode });
+    const demandPerSecond = (all.count * 1000) / DEMAND_TIME_CONSTANT_MS;
+    return [{ account: name, tokens, demandPerSecond, share: own.count / all.count }];
   });
   return { state: next, totals };
 }
+
+/**
+ * Lists the accounts that ask for more than their rate, for nodes that have not reported them.
+ *
+ * @param state - state of the aggregator
+ * @param accounts - the accounts by name
+ * @param now - the current instant
+ * @returns their totals
+ */
+export function overdrawn(
+  state: AggregatorState,
+  accounts: ReadonlyMap<AccountName, QuotaAccount>,
+  now: Instant,
+): readonly Total[] {
+  return [...state].flatMap(([name, total]): readonly Total[] => {
+    const account = accounts.get(name);
+    if (account === undefined || account.ratePerSecond === 0) return [];
+    const demandPerSecond = (countNow(total.all, now) * 1000) / DEMAND_TIME_CONSTANT_MS;
+    if (demandPerSecond <= account.ratePerSecond) return [];
+    return [{ account: name, tokens: refilled(total, account, now), demandPerSecond, share: null }];
+  });
+}
--- a/src/core/quota/quota.ts
+++ b/src/core/quota/quota.ts
@@ -13,14 +13,33 @@
  */
 const CALM_SHARE = 0.5;
 
+/**
+ * Requests that a node lets in at once for an account of which it is told nothing. Two at one node
+ * within one report are common for small accounts.
+ */
+const UNTOLD_TOKENS = 2;
+
+/** Range in which the share of a node is corrected by the tokens that are left in all. */
+const MIN_CORRECTION = 0.3;
+const MAX_CORRECTION = 1.2;
+
+/** How the node divides an account's quota with the others. */
+type Division =
+  /** The account asks for less than its rate, so its tokens may be used where they are needed. */
+  | { readonly kind: 'calm'; readonly allotted: number; readonly at: Instant }
+  /** The account asks for more, so each node refills its own bucket with its share. */
+  | { readonly kind: 'shared'; readonly at: Instant }
+  /** Nothing has been told of the account lately. */
+  | { readonly kind: 'untold' };
+
 /** What one node knows of the quota of one account. */
 interface AccountQuota {
-  /** Tokens that this node may use now. */
-  readonly allotted: number;
-  readonly allottedAt: Instant;
-  /** Part of the account's rate that this node gets. */
+  readonly division: Division;
+  /** Own bucket, in tokens. */
+  readonly bucket: number;
+  readonly filledAt: Instant;
+  /** Part of the account's rate that refills the own bucket. */
   readonly share: number;
-  readonly totalAt: Instant;
   readonly admitted: number;
   readonly demanded: number;
 }
@@ -39,23 +58,79 @@
   readonly retryAfterMs: Milliseconds;
 }
 
-function startQuota(account: QuotaAccount, nodes: number, now: Instant): AccountQuota {
-  const share = 1 / Math.max(1, nodes);
+/** What a node knows of the fleet. */
+export interface QuotaView {
+  readonly nodes: number;
+  /** Whether the aggregator answers; it tells all nodes which accounts exceed their rate. */
+  readonly isAggregatorHeard: boolean;
+}
+
+function bucketSize({ burst }: QuotaAccount, share: number): number {
+  return Math.max(1, burst * share);
+}
+
+function startQuota(account: QuotaAccount, view: QuotaView, now: Instant): AccountQuota {
+  const share = 1 / Math.max(1, view.nodes);
+  const size = bucketSize(account, share);
   return {
-    allotted: Math.max(1, account.burst * share),
-    allottedAt: now,
+    division: { kind: 'untold' },
+    bucket: view.isAggregatorHeard ? Math.max(UNTOLD_TOKENS, size) : size,
+    filledAt: now,
     share,
-    totalAt: Number.NEGATIVE_INFINITY,
     admitted: 0,
     demanded: 0,
   };
 }
 
-function tokensNow(quota: AccountQuota, account: QuotaAccount, now: Instant): number {
-  const gained = ((now - quota.allottedAt) / 1000) * account.ratePerSecond * quota.share;
-  const isStale = now - quota.totalAt > TOTAL_LIFETIME_MS;
-  const cap = Math.max(1, account.burst * (isStale ? quota.share : 1));
-  return Math.min(cap, quota.allotted + gained);
+/** Forgets totals that are too old, and refills the own bucket. */
+function refresh(
+  quota: AccountQuota,
+  account: QuotaAccount,
+  { nodes, isAggregatorHeard }: QuotaView,
+  now: Instant,
+): AccountQuota {
+  const { division } = quota;
+  const isStale = division.kind !== 'untold' && now - division.at > TOTAL_LIFETIME_MS;
+  const share = isStale ? 1 / Math.max(1, nodes) : quota.share;
+  const gained = ((now - quota.filledAt) / 1000) * account.ratePerSecond * share;
+  const size = bucketSize(account, share);
+  // An account of which a listening node is told nothing is inside its rate.
+  const isCalm = isStale && isAggregatorHeard && division.kind === 'calm';
+  return {
+    ...quota,
+    division: isStale ? { kind: 'untold' } : division,
+    share,
+    bucket: isCalm ? Math.max(UNTOLD_TOKENS, size) : Math.min(size, quota.bucket + gained),
+    filledAt: now,
+  };
+}
+
+/** Tokens that may be used now. */
+function available(
+  { division, bucket }: AccountQuota,
+  account: QuotaAccount,
+  now: Instant,
+): number {
+  switch (division.kind) {
+    case 'calm': {
+      const gained = ((now - division.at) / 1000) * account.ratePerSecond * CALM_SHARE;
+      return Math.max(bucket, division.allotted + gained);
+    }
+    case 'shared':
+    case 'untold':
+      return bucket;
+  }
+}
+
+function spend(quota: AccountQuota): AccountQuota {
+  const { division } = quota;
+  return {
+    ...quota,
+    bucket: Math.max(0, quota.bucket - 1),
+    admitted: quota.admitted + 1,
+    division:
+      division.kind === 'calm' ? { ...division, allotted: division.allotted - 1 } : division,
+  };
 }
 
 /**
@@ -63,32 +138,27 @@
  *
  * @param state - quotas of this node
  * @param account - the account
- * @param nodes - number of nodes, for the first share
+ * @param view - what the node knows of the fleet
  * @param now - the current instant
  * @returns the decision and the next state
  */
 export function admit(
   state: QuotaState,
   account: QuotaAccount,
-  nodes: number,
+  view: QuotaView,
   now: Instant,
 ): QuotaStep {
   if (account.ratePerSecond === 0) return { state, isAdmitted: true, retryAfterMs: 0 };
-  const quota = state.get(account.name) ?? startQuota(account, nodes, now);
-  const tokens = tokensNow(quota, account, now);
+  const known = state.get(account.name) ?? startQuota(account, view, now);
+  const quota = refresh(known, account, view, now);
+  const tokens = available(quota, account, now);
   const isAdmitted = tokens >= 1;
-  const next: AccountQuota = {
-    ...quota,
-    allotted: isAdmitted ? tokens - 1 : tokens,
-    allottedAt: now,
-    admitted: quota.admitted + (isAdmitted ? 1 : 0),
-    demanded: quota.demanded + 1,
-  };
-  const missing = isAdmitted ? 0 : 1 - tokens;
+  const counted = { ...quota, demanded: quota.demanded + 1 };
+  const refillPerSecond = Math.max(0.1, account.ratePerSecond * quota.share);
   return {
-    state: new Map(state).set(account.name, next),
+    state: new Map(state).set(account.name, isAdmitted ? spend(counted) : counted),
     isAdmitted,
-    retryAfterMs: (missing * 1000) / Math.max(0.1, account.ratePerSecond * quota.share),
+    retryAfterMs: isAdmitted ? 0 : ((1 - tokens) * 1000) / refillPerSecond,
   };
 }
 
@@ -115,12 +185,36 @@
   };
 }
 
+function divide(
+  quota: AccountQuota,
+  total: Total,
+  account: QuotaAccount,
+  now: Instant,
+): AccountQuota {
+  const { tokens, demandPerSecond } = total;
+  const share = total.share ?? quota.share;
+  // What was admitted since the report is not in the total yet.
+  const left = tokens - quota.admitted;
+  // The estimate of a small demand is rough, and while half of the burst is left nothing presses.
+  const isCalm = demandPerSecond <= account.ratePerSecond || tokens > account.burst / 2;
+  if (isCalm && left >= 1) {
+    const allotted = Math.max(Math.min(left, UNTOLD_TOKENS), left * Math.max(share, CALM_SHARE));
+    return { ...quota, share, division: { kind: 'calm', allotted, at: now } };
+  }
+  // Tokens below half of the burst say that the nodes together have admitted too much.
+  const balance = 1 + (tokens - account.burst / 2) / (account.burst + account.ratePerSecond);
+  const correction = Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, balance));
+  const bucket = Math.min(quota.bucket, Math.max(1, tokens * share));
+  return { ...quota, share: share * correction, bucket, division: { kind: 'shared', at: now } };
+}
+
 /**
  * Applies the totals of the aggregator.
  *
  * @param state - quotas of this node
  * @param totals - totals over all nodes
  * @param accounts - the accounts by name
+ * @param view - what the node knows of the fleet
  * @param now - the current instant
  * @returns the next state
  */
@@ -128,18 +222,15 @@
   state: QuotaState,
   totals: readonly Total[],
   accounts: ReadonlyMap<AccountName, QuotaAccount>,
+  view: QuotaView,
   now: Instant,
 ): QuotaState {
   const next = new Map(state);
-  totals.forEach(({ account: name, tokens, demandPerSecond, share }) => {
-    const account = accounts.get(name);
-    const quota = next.get(name);
-    if (account === undefined || quota === undefined) return;
-    const isCalm = demandPerSecond <= account.ratePerSecond;
-    const part = isCalm ? Math.max(share, CALM_SHARE) : share;
-    // What was admitted since the report is not in the total yet.
-    const allotted = (tokens > 0 ? tokens * part : tokens * share) - quota.admitted;
-    next.set(name, { ...quota, allotted, allottedAt: now, share, totalAt: now });
+  totals.forEach((total) => {
+    const account = accounts.get(total.account);
+    if (account === undefined) return;
+    const quota = next.get(total.account) ?? startQuota(account, view, now);
+    next.set(total.account, divide(quota, total, account, now));
   });
   return next;
 }
--- a/src/core/quota/usage.ts
+++ b/src/core/quota/usage.ts
@@ -14,6 +14,6 @@
   /** Tokens left of rate and burst; below 0 when nodes admitted more in the meantime. */
   readonly tokens: number;
   readonly demandPerSecond: number;
-  /** Part of the demand that the receiver of this total reported. */
-  readonly share: number;
+  /** Part of the demand that the receiver reported; null in a total for all nodes. */
+  readonly share: number | null;
 }
--- a/src/sidecar/backend-connections.ts
+++ b/src/sidecar/backend-connections.ts
@@ -1,4 +1,3 @@
-import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../core/model/time.js';
 
@@ -24,7 +23,7 @@
       const [error, socket] = args;
       if (error === null) {
         isReset = false;
-        (socket).prependListener('error', () => {
+        socket.prependListener('error', () => {
           isReset = true;
         });
         callback(null, socket);
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -111,6 +111,12 @@
     return this.#tickets.size;
   }
 
+  /** @returns whether the backend server is known to take requests */
+  get isOpen(): boolean {
+    const { closed, condition } = this.#task.state;
+    return closed === null && (condition.kind === 'warm' || condition.kind === 'cold');
+  }
+
   /** @returns the load of the gate and of what lies behind it */
   get load(): GateLoad {
     const own = gateLoad(this.#task.state, this.#options.clock.now());
--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -1,13 +1,19 @@
 import type { AccountName } from '../core/model/names.js';
-import type { Clock, Milliseconds } from '../core/model/time.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { QuotaAccount } from '../core/policy/policy.js';
-import { addReport, emptyAggregator, type AggregatorState } from '../core/quota/aggregator.js';
+import {
+  addReport,
+  emptyAggregator,
+  overdrawn,
+  type AggregatorState,
+} from '../core/quota/aggregator.js';
 import {
   admit,
   applyTotals,
   emptyQuotas,
   takeReport,
   type QuotaState,
+  type QuotaView,
 } from '../core/quota/quota.js';
 import type { Total, Usage } from '../core/quota/usage.js';
 
@@ -20,6 +26,8 @@
   /** @returns address of the node that adds up usage, or null when that is this node */
   readonly aggregator: () => string | null;
   readonly sendUsage: (address: string, usages: readonly Usage[]) => void;
+  /** Tells all nodes which accounts exceed their rate. */
+  readonly tellAll: (totals: readonly Total[]) => void;
 }
 
 /**
@@ -28,6 +36,9 @@
  */
 const REPORT_INTERVAL_MS: Milliseconds = 250;
 
+/** An aggregator that answered within this time still works. */
+const HEARD_LIFETIME_MS: Milliseconds = 5000;
+
 /** Owner of the quotas of this node, and of the totals while it is the aggregator. */
 export class QuotaTask {
   readonly #options: QuotaTaskOptions;
@@ -38,6 +49,8 @@
 
   #aggregate: AggregatorState = emptyAggregator;
 
+  #heardAt: Instant = Number.NEGATIVE_INFINITY;
+
   #accounts: ReadonlyMap<AccountName, QuotaAccount> = new Map();
 
   /**
@@ -64,8 +77,8 @@
    * @returns null when the request is inside the quota, otherwise the time until a token is due
    */
   spend(account: QuotaAccount): Milliseconds | null {
-    const { clock, nodes } = this.#options;
-    const { state, isAdmitted, retryAfterMs } = admit(this.#quotas, account, nodes(), clock.now());
+    const now = this.#options.clock.now();
+    const { state, isAdmitted, retryAfterMs } = admit(this.#quotas, account, this.#view(now), now);
     this.#quotas = state;
     return isAdmitted ? null : retryAfterMs;
   }
@@ -91,7 +104,8 @@
    */
   told(totals: readonly Total[]): void {
     const now = this.#options.clock.now();
-    this.#quotas = applyTotals(this.#quotas, totals, this.#accounts, now);
+    this.#heardAt = now;
+    this.#quotas = applyTotals(this.#quotas, totals, this.#accounts, this.#view(now), now);
   }
 
   /** Stops the timer. */
@@ -99,8 +113,15 @@
     clearInterval(this.#ticker);
   }
 
+  #view(now: Instant): QuotaView {
+    const isAggregatorHeard = now - this.#heardAt < HEARD_LIFETIME_MS;
+    return { nodes: this.#options.nodes(), isAggregatorHeard };
+  }
+
   #report(): void {
-    const { node, aggregator, sendUsage } = this.#options;
+    const { node, clock, aggregator, sendUsage, tellAll } = this.#options;
+    const hot = overdrawn(this.#aggregate, this.#accounts, clock.now());
+    if (hot.length > 0) tellAll(hot);
     const { state, usages } = takeReport(this.#quotas);
     this.#quotas = state;
     if (usages.length === 0) return;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -178,6 +178,16 @@
     return this.#policy.lookup !== null && !this.#isStopping;
   }
 
+  /** @returns whether the own backend server is known and takes requests */
+  get isServing(): boolean {
+    return this.isReady && this.#gate.isOpen;
+  }
+
+  /** @returns number of backend servers in the directory */
+  get knownBackendServers(): number {
+    return this.#directory.instances.length;
+  }
+
   /**
    * Starts listening and reading.
    *
@@ -262,6 +272,7 @@
       nodes: () => this.#peers.size,
       aggregator: () => this.#peers.aggregator('quota'),
       sendUsage: (address, usages) => this.#mesh.tell(address, { kind: 'usage', usages }),
+      tellAll: (totals) => this.#mesh.tellAll({ kind: 'totals', totals }),
     });
   }
 
--- /dev/null
+++ b/test/core/dispatch/dispatch.test.ts
@@ -0,0 +1,138 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decideDispatch, startDispatch } from '../../../src/core/dispatch/dispatch.js';
+import type {
+  DispatchEffect,
+  DispatchMessage,
+  DispatchState,
+} from '../../../src/core/dispatch/dispatch-state.js';
+import type { Rank } from '../../../src/core/exchange/mesh-call.js';
+
+const ROOT: Rank = { isNested: false, accountPriority: 0, routePriority: 2 };
+const URGENT: Rank = { isNested: false, accountPriority: 0, routePriority: 0 };
+const NESTED: Rank = { isNested: true, accountPriority: 0, routePriority: 2 };
+const OBJECTIVE_MS = 1000;
+const DEADLINE_MS = 3000;
+
+/** A gate whose effects are recorded. */
+class Gate {
+  readonly started: number[] = [];
+
+  readonly refused: number[] = [];
+
+  readonly startedAt: number[] = [];
+
+  #state: DispatchState;
+
+  constructor(slots: number, coldRatePerSecond = 25) {
+    this.#state = startDispatch({ slots, coldRatePerSecond });
+  }
+
+  get state(): DispatchState {
+    return this.#state;
+  }
+
+  send(message: DispatchMessage, now: number): void {
+    const { state, effects } = decideDispatch(this.#state, message, now);
+    this.#state = state;
+    effects.forEach((effect) => this.#record(effect, now));
+  }
+
+  arrive(ticket: number, rank: Rank, now: number): void {
+    const times = { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: DEADLINE_MS };
+    this.send({ kind: 'arrived', ticket, rank, ...times }, now);
+  }
+
+  #record(effect: DispatchEffect, now: number): void {
+    if (effect.kind === 'refuse') {
+      this.refused.push(effect.ticket);
+      return;
+    }
+    this.started.push(effect.ticket);
+    this.startedAt.push(now);
+  }
+}
+
+function warmGate(slots: number): Gate {
+  const gate = new Gate(slots);
+  gate.send({ kind: 'condition', condition: { kind: 'warm' } }, 0);
+  return gate;
+}
+
+test('nothing is sent before the health of the backend server is known', () => {
+  // Guards against full load on a backend server that has just started.
+  const gate = new Gate(10);
+  gate.arrive(1, ROOT, 0);
+  assert.deepEqual(gate.started, []);
+  gate.send({ kind: 'condition', condition: { kind: 'warm' } }, 5);
+  assert.deepEqual(gate.started, [1]);
+});
+
+test('a cold backend server gets no more than its rate in any second', () => {
+  // Guards against a cold start that is flooded by requests that came in the meantime.
+  const gate = new Gate(100, 25);
+  gate.send({ kind: 'condition', condition: { kind: 'cold', until: 5000 } }, 0);
+  let ticket = 0;
+  for (let now = 0; now < 4000; now += 4) {
+    ticket += 1;
+    gate.arrive(ticket, ROOT, now);
+    gate.send({ kind: 'tick' }, now);
+    const done = gate.started.at(-1);
+    if (done !== undefined) gate.send({ kind: 'ended', ticket: done, end: 'answered' }, now);
+  }
+  const most = gate.startedAt.reduce((highest, from) => {
+    const within = gate.startedAt.filter((at) => at >= from && at < from + 1000).length;
+    return Math.max(highest, within);
+  }, 0);
+  assert.ok(most <= 25, `${most} starts in one second`);
+  // Guards against a cold backend server that is starved.
+  assert.ok(gate.started.length >= 75, `${gate.started.length} starts in 4 s`);
+});
+
+test('waiting calls go by rank, and calls of running requests before new ones', () => {
+  // Guards against work that is thrown away since its last call waits behind new requests.
+  const gate = warmGate(10);
+  for (let ticket = 1; ticket <= 9; ticket += 1) gate.arrive(ticket, NESTED, 0);
+  gate.arrive(20, ROOT, 1);
+  gate.arrive(21, URGENT, 1);
+  gate.arrive(22, NESTED, 1);
+  assert.deepEqual(
+    gate.state.queue.map(({ ticket }) => ticket),
+    [22, 21, 20],
+  );
+});
+
+test('a queue that is longer than a request may wait refuses at once', () => {
+  // Guards against callers that wait for a refusal.
+  const gate = warmGate(2);
+  for (let ticket = 1; ticket <= 50; ticket += 1) gate.arrive(ticket, ROOT, 0);
+  assert.ok(gate.refused.length > 0);
+  assert.ok(gate.refused.length + gate.started.length + gate.state.queue.length === 50);
+  // What was queued is refused too when nothing ends in its time.
+  gate.send({ kind: 'tick' }, OBJECTIVE_MS);
+  assert.equal(gate.state.queue.length, 0);
+});
+
+test('a backend server that refuses connections empties the queue at once', () => {
+  // Guards against requests that wait for a backend server that is gone.
+  const gate = new Gate(2);
+  gate.arrive(1, ROOT, 0);
+  gate.send({ kind: 'condition', condition: { kind: 'down' } }, 1);
+  gate.arrive(2, ROOT, 2);
+  assert.deepEqual(gate.refused, [1, 2]);
+});
+
+test('new requests leave room for calls of running ones, and the other way round', () => {
+  // Guards against a service whose slots are all held by requests that wait for its own slots.
+  const gate = warmGate(20);
+  for (let ticket = 1; ticket <= 40; ticket += 1) gate.arrive(ticket, ROOT, 0);
+  const roots = gate.started.length;
+  gate.arrive(100, NESTED, 1);
+  assert.ok(gate.started.includes(100), `${roots} roots hold all slots`);
+  const other = warmGate(20);
+  for (let ticket = 1; ticket <= 40; ticket += 1) other.arrive(ticket, NESTED, 0);
+  other.arrive(100, ROOT, 1);
+  const [first = 0] = other.started;
+  other.send({ kind: 'ended', ticket: first, end: 'answered' }, 2);
+  assert.ok(other.started.includes(100), 'a new request waits behind all calls');
+});
--- /dev/null
+++ b/test/core/policy/policy.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { buildLookup, findRoute } from '../../../src/core/policy/policy-lookup.js';
+import type { Policy, PrefixRoute } from '../../../src/core/policy/policy.js';
+import { chooseWeighted } from '../../../src/core/policy/weighted-choice.js';
+
+function route(name: string, host: string, prefix: string): PrefixRoute {
+  return {
+    name,
+    host,
+    prefix,
+    repeatability: 'idempotent',
+    timeoutMs: 1000,
+    latencyObjectiveMs: 500,
+    priority: 0,
+    destinations: [{ service: name, weight: 1 }],
+    attempts: 2,
+    access: 'keyed',
+  };
+}
+
+const POLICY: Policy = {
+  version: 1,
+  routes: [
+    route('all', 'a.example', '/'),
+    route('x', 'a.example', '/x/'),
+    route('xy', 'a.example', '/x/y/'),
+  ],
+  services: [],
+  accounts: null,
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+test('the longest prefix of the host that begins the path is chosen', () => {
+  // Guards against a request that goes to the service of a shorter prefix or another host.
+  const lookup = buildLookup(POLICY);
+  const nameOf = (host: string, path: string) => findRoute(lookup, host, path)?.name ?? null;
+  assert.equal(nameOf('a.example', '/x/y/1'), 'xy');
+  assert.equal(nameOf('A.example:80', '/x/z?q=/x/y/'), 'x');
+  assert.equal(nameOf('a.example', '/xy'), 'all');
+  assert.equal(nameOf('a.example', '/x'), 'all');
+  assert.equal(nameOf('b.example', '/x/'), null);
+});
+
+test('a split keeps close to its weights in every run of requests', () => {
+  // Guards against shares that are right only on average over a long time.
+  const destinations = [
+    { service: 'a', weight: 90 },
+    { service: 'b', weight: 10 },
+  ];
+  let credits: readonly number[] = [];
+  const chosen = Array.from({ length: 100 }, () => {
+    const choice = chooseWeighted(destinations, credits);
+    credits = choice.credits;
+    return choice.index;
+  });
+  assert.equal(chosen.filter((index) => index === 1).length, 10);
+  assert.equal(chosen.slice(0, 10).filter((index) => index === 1).length, 1);
+});
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { httpDialect } from '../../platform/http-dialect.js';
+import { publishedFactReader } from '../../platform/published-values.js';
+import { parsePlatformSettings } from '../../platform/settings.js';
+import { POLICY } from '../sidecar/fleet.js';
+
+const SETTINGS = `
+nodeName = "n"
+ip = "10.0.0.1"
+zone = "a"
+appAddr = "10.0.0.1:80"
+service = "stock"
+unknown = 1
+[listen]
+inbound = "10.0.0.1:1"
+outbound = "10.0.0.1:2"
+ready = "10.0.0.1:3"
+[limits]
+memoryMb = 350
+[bounds]
+grace = "6s"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+budgetSlack = 49
+[platform]
+address = "10.0.0.9:4"
+`;
+
+test('the settings of the platform are read, and fields that are not known are ignored', () => {
+  // Guards against a node that does not start because the platform has a new field.
+  const settings = parsePlatformSettings(SETTINGS, 'file')._unsafeUnwrap();
+  assert.equal(settings.stopDeadlineMs, 6000);
+  assert.deepEqual(settings.storeAddress, { host: '10.0.0.9', port: 4 });
+  assert.deepEqual(settings.seeds, []);
+});
+
+test('settings that lack fields or have wrong types are refused with every fault', () => {
+  // Guards against a node that runs with half of its settings.
+  const broken = SETTINGS.replace('ip = "10.0.0.1"', 'ip = 4').replace('grace = "6s"', '');
+  const faults = parsePlatformSettings(broken, 'file')._unsafeUnwrapErr();
+  const text = JSON.stringify(faults);
+  assert.match(text, /ip/);
+  assert.match(text, /grace/);
+  const address = SETTINGS.replace('10.0.0.9:4', 'store').replace('10.0.0.1:80', 'app');
+  assert.equal(parsePlatformSettings(address, 'file')._unsafeUnwrapErr().length, 2);
+});
+
+test('a value that cannot be read is reported and says nothing', () => {
+  // Guards against one broken entry that takes the others with it.
+  const reported: string[] = [];
+  const read = publishedFactReader((key) => reported.push(key));
+  const values = ['{', '{}', '{"address":"a","info":{"service":1},"status":{}}', 'null'];
+  values.forEach((text, at) => {
+    assert.equal(read({ key: `servers/${at}`, revision: 1, text }), null);
+  });
+  assert.equal(reported.length, values.length);
+  assert.equal(
+    read({ key: 'op/config', revision: 1, text: JSON.stringify(POLICY) })?.kind,
+    'policy',
+  );
+  assert.deepEqual(read({ key: 'op/evacuate/a', revision: 1, text: '{}' }), {
+    kind: 'zone-out',
+    zone: 'a',
+  });
+  assert.equal(read({ key: 'other/key', revision: 1, text: '{}' }), null);
+});
+
+test('headers that the caller forged, its key and those of one connection are not passed on', () => {
+  // Guards against a caller that speaks for another account or service.
+  const head = httpDialect.readRequest({
+    method: 'GET',
+    target: '/x/1',
+    rawHeaders: [
+      'Host',
+      'h',
+      'Attempt-Id',
+      'a',
+      'Tenant-Id',
+      'forged',
+      'Caller-Service',
+      'forged',
+      'Authorization',
+      'Bearer k',
+      'Connection',
+      'close, X-Hop',
+      'X-Hop',
+      '1',
+      'X-Kept',
+      '2',
+      'Timeout-Ms',
+      '500',
+      'Target-Instance',
+      'i-9',
+    ],
+  });
+  assert.equal(head.requestId, 'a');
+  assert.equal(head.key, 'k');
+  assert.equal(head.callerTimeoutMs, 500);
+  assert.deepEqual(head.headers, [
+    ['host', 'h'],
+    ['x-kept', '2'],
+  ]);
+});
