--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -7,6 +7,18 @@
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 const target = join(root, 'target');
 
+const undiciClient = {
+  name: 'undici-client',
+  setup({ onResolve }) {
+    // The node for file sets uses more of the library; it is loaded only when it runs.
+    onResolve({ filter: /^undici$/ }, ({ importer }) =>
+      /[\\/](?:sidecar|platform)[\\/][^\\/]+$/.test(importer)
+        ? { path: join(root, 'scripts', 'undici-client.mjs') }
+        : undefined,
+    );
+  },
+};
+
 await rm(target, { recursive: true, force: true });
 await build({
   entryPoints: { almondhoist: join(root, 'src', 'main.ts') },
@@ -19,6 +31,7 @@
   platform: 'node',
   target: 'node20',
   minifySyntax: true,
+  plugins: [undiciClient],
   logLevel: 'warning',
   // Some libraries are CommonJS and ask for built-in modules with `require`.
   banner: {
--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -1,3 +1,4 @@
+import { watchFile } from 'node:fs';
 import { readFile } from 'node:fs/promises';
 import { once } from 'node:events';
 import { ResultAsync } from 'neverthrow';
@@ -12,6 +13,9 @@
 import { exitCodes, type ExitCode } from './exit-code.js';
 import { printFaults, type Terminal } from './terminal.js';
 
+/** The file may change without a signal; a change is noticed within this time. */
+const SETTINGS_CHECK_INTERVAL_MS = 2000;
+
 function readSettings(file: string): ResultAsync<SidecarSettings, readonly Fault[]> {
   return ResultAsync.fromPromise(readFile(file, 'utf8'), (error): readonly Fault[] => {
     const reason = error instanceof Error ? error.message : String(error);
@@ -37,6 +41,18 @@
   });
 }
 
+/** Reads the settings again on SIGHUP and when the file has changed without a signal. */
+function watchSettings(file: string, sidecar: Sidecar): void {
+  const reload = (): void => {
+    void readSettings(file).match(
+      (settings) => sidecar.reload(settings),
+      (faults) => sidecar.reloadFailed(faults),
+    );
+  };
+  process.on('SIGHUP', reload);
+  watchFile(file, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, reload);
+}
+
 /**
  * Runs a node with the settings that the platform wrote, until it is told to stop.
  *
@@ -44,9 +60,12 @@
  * @returns the exit code
  */
 export async function serveOnPlatform(terminal: Terminal): Promise<ExitCode> {
-  const settings = await readSettings(settingsLocation(process.env));
+  const file = settingsLocation(process.env);
+  const settings = await readSettings(file);
   if (settings.isErr()) return printFaults(terminal, settings.error);
   const sidecar = openSidecar(settings.value);
+  // Without a handler, the signal would end the process.
+  watchSettings(file, sidecar);
   const started = await sidecar.start();
   if (started.isErr()) {
     printFaults(terminal, [started.error]);
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -6,7 +6,7 @@
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10,
 ] as const;
 
-/** The metrics of one node. `docs/operations.md` says what each of them tells. */
+/** The metrics of one node. `docs/OPERATIONS.md` says what each of them tells. */
 export class Metrics {
   readonly registry = new Registry();
 
--- a/src/runtime/roarr-log.ts
+++ b/src/runtime/roarr-log.ts
@@ -4,7 +4,7 @@
 import type { Log, LogEntry } from '../core/logs/log-entry.js';
 
 /** Lines are written together at least this often, which saves a system call for each line. */
-const FLUSH_INTERVAL_MS = 20;
+const FLUSH_INTERVAL_MS = 200;
 const FLUSH_BYTES = 65_536;
 
 /** Buffer between the logger and standard output. */
--- a/src/sidecar/backend-connections.ts
+++ b/src/sidecar/backend-connections.ts
@@ -1,12 +1,8 @@
-import { buildConnector, Client, type Dispatcher } from 'undici';
+import { Client } from 'undici';
 import type { Milliseconds } from '../core/model/time.js';
 
 /** One connection to the backend server; it carries one request at a time. */
-export interface BackendConnection {
-  readonly client: Client;
-  /** Whether the connection ended with a reset rather than in order. */
-  readonly wasReset: () => boolean;
-}
+export type BackendConnection = Client;
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1000;
 
@@ -14,33 +10,16 @@
 const KEEP_ALIVE_MS: Milliseconds = 4000;
 
 function openConnection(url: string): BackendConnection {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  let isReset = false;
-  // The library takes an answer without a length as whole also when its connection is reset, so
-  // the reset is recorded here, ahead of the library's own handler.
-  const watched: buildConnector.connector = (options, callback) =>
-    connect(options, (...args) => {
-      const [error, socket] = args;
-      if (error === null) {
-        isReset = false;
-        socket.prependListener('error', () => {
-          isReset = true;
-        });
-        callback(null, socket);
-      } else {
-        callback(error, null);
-      }
-    });
   const client = new Client(url, {
     pipelining: 1,
-    connect: watched,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
-  // Without requests, a lost connection is replaced by the next request.
+  // Without a request, a lost connection is replaced by the next request.
   client.on('connectionError', () => {});
-  return { client, wasReset: () => isReset };
+  return client;
 }
 
 /**
@@ -78,24 +57,9 @@
     if (this.#busy.delete(connection)) this.#idle.push(connection);
   }
 
-  /**
-   * Sends a request on a connection.
-   *
-   * @param connection - the connection
-   * @param options - the request
-   * @param handler - handler of the exchange
-   */
-  send(
-    { client }: BackendConnection,
-    options: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
-  ): void {
-    client.dispatch(options, handler);
-  }
-
   /** Closes all connections at once. */
   async close(): Promise<void> {
     const all = [...this.#idle, ...this.#busy];
-    await Promise.all(all.map(({ client }) => client.destroy()));
+    await Promise.all(all.map((client) => client.destroy()));
   }
 }
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -19,8 +19,6 @@
   readonly call: MeshCall;
   readonly dialect: Dialect;
   readonly maxAnswerBytes: number;
-  /** Whether the connection ended with a reset rather than in order. */
-  readonly wasReset: () => boolean;
   readonly onEnd: (end: ExchangeEnd) => void;
 }
 
@@ -28,6 +26,9 @@
 
 const BROKEN_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'UND_ERR_SOCKET', 'EPIPE']);
 
+/** Statuses whose answers have neither a length nor a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 function errorCode(error: Error): string {
   return 'code' in error && typeof error.code === 'string' ? error.code : '';
 }
@@ -50,6 +51,8 @@
 
   #announcedBytes: number | null = null;
 
+  #isChunked = false;
+
   #receivedBytes = 0;
 
   /**
@@ -87,6 +90,7 @@
     this.#head = this.#options.dialect.readAnswer(statusCode, headers);
     const length = headers['content-length'];
     this.#announcedBytes = typeof length === 'string' ? Number(length) : null;
+    this.#isChunked = headers['transfer-encoding'] !== undefined;
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -117,12 +121,10 @@
   #wholeAnswer(): ExchangeEnd {
     const head = this.#head;
     const body = Buffer.concat(this.#chunks);
-    const isShort =
-      this.#options.wasReset() ||
-      (this.#announcedBytes !== null &&
-        this.#options.call.method !== 'HEAD' &&
-        this.#announcedBytes !== body.length);
-    if (head === null || isShort) {
+    if (this.#abortCode !== null) {
+      return { kind: 'failed', code: this.#abortCode, isBroken: false };
+    }
+    if (head === null || !this.#isWhole(head, body)) {
       return { kind: 'failed', code: 'answerTruncated', isBroken: false };
     }
     if (head.requestId !== null && head.requestId !== this.#options.call.requestId) {
@@ -138,6 +140,16 @@
     return { kind: 'answered', head, body };
   }
 
+  /**
+   * An answer without a length ends with its connection, and backend servers that break it off
+   * close the connection in order as well. Nothing tells such an answer from a whole one.
+   */
+  #isWhole({ status }: BackendHead, body: Uint8Array): boolean {
+    const needsNoLength =
+      this.#options.call.method === 'HEAD' || BODILESS_STATUSES.has(status) || this.#isChunked;
+    return needsNoLength || this.#announcedBytes === body.length;
+  }
+
   #end(end: ExchangeEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -260,12 +260,10 @@
       call,
       dialect,
       maxAnswerBytes: MAX_ANSWER_BYTES,
-      wasReset: connection.wasReset,
       onEnd: (end) => this.#ended(ticket, end),
     });
     this.#runs.set(ticket, { exchange, connection, startedAt: now });
-    this.#connections.send(
-      connection,
+    connection.dispatch(
       {
         path: call.path,
         method: call.method,
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Directory } from '../core/directory/directory.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
@@ -28,6 +29,12 @@
   readonly statusChanged: () => void;
 }
 
+/**
+ * Pause between the answer of a watch and the next one. Changes come in groups and each call is
+ * paid for; the pause is a fifth of the shortest time in which a change has to be in force.
+ */
+const WATCH_PAUSE_MS: Milliseconds = 400;
+
 /** Pause after a failed call; doubled with each further one. */
 const RETRY_MIN_MS: Milliseconds = 200;
 const RETRY_MAX_MS: Milliseconds = 2000;
@@ -115,6 +122,8 @@
     let reply = await store.list();
     while (!this.#isClosed) {
       if (!this.#learn(reply)) return;
+      // eslint-disable-next-line no-await-in-loop
+      if (reply.kind === 'changes' && reply.changes.length > 0) await sleep(WATCH_PAUSE_MS);
       // A lost history is followed by a fresh listing, anything else by the next watch.
       // eslint-disable-next-line no-await-in-loop
       reply = await (reply.kind === 'history-lost'
--- a/src/sidecar/retry-task.ts
+++ b/src/sidecar/retry-task.ts
@@ -11,7 +11,8 @@
 /** What the retry budgets need. */
 export interface RetryTaskOptions {
   readonly clock: Clock;
-  readonly bound: RetryBound;
+  /** @returns the bound of the settings in force */
+  readonly bound: () => RetryBound;
   /** @returns number of nodes that share the bound */
   readonly nodes: () => number;
 }
@@ -37,7 +38,7 @@
   requestSeen(service: ServiceName): void {
     const { clock, bound } = this.#options;
     const budget = this.#budgets.get(service) ?? emptyRetryBudget;
-    this.#budgets.set(service, recordRequest(budget, bound, clock.now()));
+    this.#budgets.set(service, recordRequest(budget, bound(), clock.now()));
   }
 
   /**
@@ -49,7 +50,7 @@
   mayRepeat(service: ServiceName): boolean {
     const { clock, bound, nodes } = this.#options;
     const budget = this.#budgets.get(service) ?? emptyRetryBudget;
-    const grant = askRepeat(budget, bound, nodes(), clock.now());
+    const grant = askRepeat(budget, bound(), nodes(), clock.now());
     this.#budgets.set(service, grant.budget);
     return grant.isGranted;
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,8 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultAsync } from 'neverthrow';
 import { emptyDirectory, instanceAt, ipOf, type Directory } from '../core/directory/directory.js';
 import type { Instance } from '../core/directory/instance.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
-import type { Fault } from '../core/errors/fault.js';
+import { formatFault, type Fault } from '../core/errors/fault.js';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { MeshCall } from '../core/exchange/mesh-call.js';
 import type { Log } from '../core/logs/log-entry.js';
@@ -63,12 +64,6 @@
 
 const STOP_CHECK_MS: Milliseconds = 50;
 
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /**
  * One node beside a backend server of the platform.
  *
@@ -76,7 +71,7 @@
  * backend server. Control path: publications, then policy, directory, peers and the gate.
  */
 export class Sidecar {
-  readonly #settings: SidecarSettings;
+  #settings: SidecarSettings;
 
   readonly #outside: SidecarOutside;
 
@@ -141,7 +136,7 @@
     this.#load = new LoadTask({ clock, random });
     this.#retries = new RetryTask({
       clock,
-      bound: settings.retryBudget,
+      bound: () => this.#settings.retryBudget,
       nodes: () => this.#peers.size,
     });
     this.#crashes = this.#createCrashes();
@@ -208,6 +203,22 @@
     this.#tellStatus();
   }
 
+  /**
+   * Applies settings that were read again. Addresses stay as they are for the life of the process.
+   *
+   * @param settings - the new settings
+   */
+  reload(settings: SidecarSettings): void {
+    const { seeds, stopDeadlineMs, retryBudget } = settings;
+    this.#settings = { ...this.#settings, seeds, stopDeadlineMs, retryBudget };
+    this.#event('settingsReloaded', { outcome: 'accepted' });
+  }
+
+  /** The settings file was read again and has faults; the old settings stay in force. */
+  reloadFailed(faults: readonly Fault[]): void {
+    this.#event('settingsReloaded', { outcome: faults.map(formatFault).join('; ') });
+  }
+
   /**
    * Stops in order: takes no new work, lets everything that runs finish, closes all connections.
    *
--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -12,6 +12,8 @@
   | 'truncated'
   /** No length; the connection ends in order after the whole body. */
   | 'unframed'
+  /** No length; the connection ends in order before the body is whole. */
+  | 'unframed-cut'
   /** No length; the connection is reset before the body is whole. */
   | 'unframed-reset'
   /** Answers with the identifier of another request. */
@@ -135,6 +137,10 @@
         raw(`${lines}\r\n${BODY}`);
         socket?.end();
         break;
+      case 'unframed-cut':
+        raw(`${lines}\r\n${BODY.slice(0, 5)}`);
+        socket?.end();
+        break;
       case 'unframed-reset':
         raw(`${lines}\r\n${BODY.slice(0, 5)}`);
         setTimeout(() => socket?.resetAndDestroy(), 5);
