--- a/demo/main.ts
+++ b/demo/main.ts
@@ -5,6 +5,7 @@
 import { KELPIE, type BenchAccount } from '../bench/topology.js';
 import type { OrderRun } from '../standin/backend-server.js';
 import { fetchText } from '../bench/child.js';
+import { playOnPlatform } from './platform.js';
 
 /** What one step of the demo found. */
 interface Finding {
@@ -196,7 +197,9 @@
 }
 
 try {
-  process.exitCode = (await run()) ? 0 : EXIT_PROMISE_BROKEN;
+  const isOnPlatform = process.argv.includes('--platform');
+  const allHold = await (isOnPlatform ? playOnPlatform() : run());
+  process.exitCode = allHold ? 0 : EXIT_PROMISE_BROKEN;
 } catch (error) {
   console.error(`the demo failed: ${String(error)}`);
   process.exitCode = EXIT_FAILED;
--- /dev/null
+++ b/demo/platform.ts
@@ -0,0 +1,211 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import { PlatformBackend } from '../standin/platform-backend.js';
+import { PlatformStore } from '../standin/platform-store.js';
+
+/** A host of the demo: a stand-in backend server and a real node. */
+interface DemoHost {
+  readonly ip: string;
+  readonly zone: string;
+  readonly backend: PlatformBackend;
+  readonly node: ChildProcess;
+}
+
+const SUBNET = '127.77.1';
+const STORE_IP = `${SUBNET}.250`;
+const ZONES = ['a', 'a', 'b', 'b'] as const;
+const CALLER_PORT = 7401;
+const PEER_PORT = 7402;
+const READY_PORT = 7403;
+const KEY = 'key-of-workshop-paisley';
+const HOST = 'stock.example';
+const START_LIMIT_MS = 15_000;
+const POLL_MS = 50;
+/** A change has to be in force within this time. */
+const CONFIGURATION_LIMIT_MS = 2000;
+
+const POLICY = {
+  version: 1,
+  routes: [
+    { name: 'look', prefix: '/look/', kind: 'safe', priority: 2 },
+    { name: 'order', prefix: '/order/', kind: 'unsafe', priority: 0 },
+  ].map((route) => ({
+    ...route,
+    host: HOST,
+    timeout: '2s',
+    targetLatency: '1s',
+    service: 'stock',
+    attempts: 2,
+  })),
+  services: [
+    { name: 'stock', healthPath: '/healthz', maxConnections: 100, warmup: '3s', warmupPerS: 25 },
+  ],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeout: '3s',
+    idleTimeout: '15s',
+  },
+  tenants: [{ name: 'paisley', apiKeys: [KEY], priority: 0, ratePerS: 100, burst: 100 }],
+};
+
+const agent = new Agent();
+const store = new PlatformStore();
+
+async function listen(server: Server, host: string): Promise<number> {
+  server.listen(0, host);
+  await once(server, 'listening');
+  return (server.address() as AddressInfo).port;
+}
+
+function settingsOf(ip: string, zone: string, backendPort: number, storePort: number): string {
+  return `
+nodeName = "node-${ip}"
+ip = "${ip}"
+zone = "${zone}"
+service = "stock"
+appAddr = "${ip}:${backendPort}"
+[listen]
+outbound = "${ip}:${CALLER_PORT}"
+inbound = "${ip}:${PEER_PORT}"
+ready = "${ip}:${READY_PORT}"
+[limits]
+memoryMb = 350
+[bounds]
+grace = "6s"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+budgetSlack = 49
+[platform]
+address = "${STORE_IP}:${storePort}"
+`;
+}
+
+async function startHost(directory: string, storePort: number, at: number): Promise<DemoHost> {
+  const ip = `${SUBNET}.${at + 1}`;
+  const zone = ZONES[at] ?? 'a';
+  const backend = new PlatformBackend(`i-${at + 1}`);
+  const backendPort = await listen(backend.server, ip);
+  const file = join(directory, `${ip}.toml`);
+  await writeFile(file, settingsOf(ip, zone, backendPort, storePort));
+  const node = spawn('dist/almondhoist', ['node', '--platform'], {
+    env: { ALMONDHOIST_CONFIG: file },
+    stdio: 'ignore',
+  });
+  store.put(`servers/${backend.instance}`, {
+    address: `${ip}:${backendPort}`,
+    born: Date.now(),
+    info: { service: 'stock', version: 'v1', zone, slots: 20 },
+    status: { state: 'ready', sequence: 1, warmupLeft: '0ms' },
+  });
+  return { ip, zone, backend, node };
+}
+
+async function statusOf(host: DemoHost, path: string, id: string, key = KEY): Promise<number> {
+  const isOrder = path.startsWith('/order/');
+  const answer = await request(`http://${host.ip}:${CALLER_PORT}${path}`, {
+    dispatcher: agent,
+    method: isOrder ? 'POST' : 'GET',
+    ...(isOrder ? { body: 'one block' } : {}),
+    headers: {
+      host: HOST,
+      'attempt-id': id,
+      'timeout-ms': '3000',
+      authorization: `Bearer ${key}`,
+    },
+  });
+  await answer.body.dump();
+  return answer.statusCode;
+}
+
+async function isReady({ ip }: DemoHost): Promise<boolean> {
+  try {
+    const answer = await request(`http://${ip}:${READY_PORT}/readyz`, { dispatcher: agent });
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    // A node that does not listen yet is not ready.
+    return false;
+  }
+}
+
+async function untilReady(hosts: readonly DemoHost[]): Promise<void> {
+  const limit = performance.now() + START_LIMIT_MS;
+  for (;;) {
+    const ready = await Promise.all(hosts.map(isReady));
+    if (ready.every(Boolean)) return;
+    if (performance.now() > limit) throw new Error('a node did not become ready');
+    await sleep(POLL_MS);
+  }
+}
+
+function report(holds: boolean, text: string): boolean {
+  console.log(`${holds ? 'ok    ' : 'BROKEN'} ${text}`);
+  return holds;
+}
+
+async function play(hosts: readonly DemoHost[]): Promise<boolean> {
+  const [first, , third] = hosts;
+  if (first === undefined || third === undefined) throw new Error('the demo has four hosts');
+  const runsOf = (id: string) =>
+    hosts.flatMap(({ backend }) => backend.runs).filter((run) => run.id === id).length;
+  const look = await statusOf(first, '/look/42', 'demo-1');
+  const wrong = await statusOf(first, '/look/42', 'demo-2', 'wrong');
+  for (const { backend } of hosts) {
+    backend.behave = ({ id }) => (id === 'demo-3' ? 'reset' : 'none');
+  }
+  const lost = await statusOf(first, '/order/7', 'demo-3');
+  store.put('op/evacuate/a', {});
+  await sleep(CONFIGURATION_LIMIT_MS);
+  const before = first.backend.runs.length;
+  const elsewhere = await statusOf(first, '/look/43', 'demo-4');
+  const isKeptOut = first.backend.runs.length === before;
+  third.node.kill('SIGKILL');
+  const afterKill = await statusOf(first, '/look/44', 'demo-5');
+  return [
+    report(look === 200, `a lookup with a good key: ${look}`),
+    report(wrong === 401, `a wrong key: ${wrong}`),
+    report(
+      lost === 502 && runsOf('demo-3') === 1,
+      `an order whose answer is lost: ${lost}, it ran ${runsOf('demo-3')} time`,
+    ),
+    report(elsewhere === 200 && isKeptOut, `a lookup while zone a is out: ${elsewhere}`),
+    report(afterKill === 200, `a lookup after the node of another host was killed: ${afterKill}`),
+  ].every(Boolean);
+}
+
+/**
+ * Starts four nodes of the binary beside stand-ins of the platform and shows what they do.
+ *
+ * @returns whether everything was as promised
+ */
+export async function playOnPlatform(): Promise<boolean> {
+  const directory = await mkdtemp(join(tmpdir(), 'almondhoist-'));
+  const storePort = await listen(store.server, STORE_IP);
+  store.put('op/config', POLICY);
+  console.log('starting 4 nodes, 4 backend servers and a store on loopback addresses');
+  const hosts = await Promise.all(ZONES.map((_, at) => startHost(directory, storePort, at)));
+  try {
+    await untilReady(hosts);
+    // The health of each backend server is read before its first request.
+    await sleep(CONFIGURATION_LIMIT_MS);
+    return await play(hosts);
+  } finally {
+    hosts.forEach(({ node, backend }) => {
+      node.kill('SIGKILL');
+      backend.server.close();
+      backend.server.closeAllConnections();
+    });
+    store.server.close();
+    store.server.closeAllConnections();
+    await agent.destroy();
+    await rm(directory, { recursive: true });
+  }
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -25,7 +25,7 @@
 const work = join(root, 'dist', 'sea');
 
 const BUILD_INPUTS = ['package.json', 'package-lock.json', 'tsconfig.json', 'scripts/build.mjs'];
-const BINARY_SOURCES = ['src', ...BUILD_INPUTS];
+const BINARY_SOURCES = ['src', 'platform', ...BUILD_INPUTS];
 const COMPILED_SOURCES = ['standin', 'demo', 'bench', 'soak', 'test', ...BINARY_SOURCES];
 
 /** Documented by Node.js; marks the place that postject fills. */
