--- a/scripts/write-result-codes.mjs
+++ b/scripts/write-result-codes.mjs
@@ -1,8 +1,8 @@
 // Writes the table of docs/result-codes.md from the registry, after `npm run compile`.
 import { readFile, writeFile } from 'node:fs/promises';
-// The registry exists only after the compilation.
-// eslint-disable-next-line import-x/no-unresolved
-import { resultCodes } from '../dist/js/src/core/errors/registry.js';
+// The registry exists only after the compilation, so the import is not a static one.
+const registry = new URL('../dist/js/src/core/errors/registry.js', import.meta.url);
+const { resultCodes } = await import(registry.href);
 
 const PAGE = 'docs/result-codes.md';
 const HEADING = '## Codes';
