--- a/src/core/dispatch/dispatch-state.ts
+++ b/src/core/dispatch/dispatch-state.ts
@@ -19,7 +19,6 @@
 export interface Waiting {
   readonly ticket: TicketId;
   readonly rank: Rank;
-  readonly arrivedAt: Instant;
   /** The call makes room when it has not started by then. */
   readonly startBy: Instant;
 }
--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -219,7 +219,7 @@
   const isTooLong = waitMs > allowedMs;
   const pressed = withPressure(state, isTooLong ? 1 : waitMs / Math.max(1, allowedMs), now);
   if (isTooLong) return refuse('overloaded', pressed);
-  const waiting: Waiting = { ticket, rank, arrivedAt: now, startBy: now + Math.max(1, allowedMs) };
+  const waiting: Waiting = { ticket, rank, startBy: now + Math.max(1, allowedMs) };
   const queue = [...state.queue.slice(0, ahead), waiting, ...state.queue.slice(ahead)];
   return advance({ ...pressed, queue }, now);
 }
--- a/src/sidecar/mesh-task.ts
+++ b/src/sidecar/mesh-task.ts
@@ -25,7 +25,6 @@
 
 interface Outgoing {
   readonly link: MeshLink;
-  readonly openedAt: Instant;
   /** Resolves when the link is open or has failed. */
   readonly ready: Promise<void>;
 }
@@ -179,7 +178,7 @@
         this.#receive(address, event, link);
       },
     });
-    const outgoing: Outgoing = { link, openedAt: clock.now(), ready };
+    const outgoing: Outgoing = { link, ready };
     this.#outgoing.set(address, outgoing);
     return outgoing;
   }
