Wait with the global timer while a node of file sets drains

Cause: replaced the own sleep of drain.ts by node:timers/promises, which the made-up time of the random runs does not replace. Ruled out: load (three runs alone on an idle core failed alike).

--- a/src/runtime/drain.ts
+++ b/src/runtime/drain.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 
 /** What waiting for the end of the running requests needs. */
@@ -17,6 +16,13 @@
  */
 const QUIET_MS = 500;
 
+/** Uses the global timer, which the random runs replace by one of made-up time. */
+function sleep(ms: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 /**
  * Waits until nothing has been open for a short while.
  *
