Decide in one place what is believed of the backend server

The signs and what follows from them are now a pure decision (backend-belief.ts); the watch owns the health requests. An entry that lists a warm-up is a sign as well. Also: one settings text for demo and tests, one handler for events of links in both directions, and frames that are not masked on links.

--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -8,6 +8,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import { PlatformBackend } from '../standin/platform-backend.js';
+import { settingsFileOf } from '../standin/platform-settings.js';
 import { PlatformStore } from '../standin/platform-store.js';
 
 /** A host of the demo: a stand-in backend server and a real node. */
@@ -65,36 +66,26 @@
   return (server.address() as AddressInfo).port;
 }
 
-function settingsOf(ip: string, zone: string, backendPort: number, storePort: number): string {
-  return `
-nodeName = "node-${ip}"
-ip = "${ip}"
-zone = "${zone}"
-service = "stock"
-appAddr = "${ip}:${backendPort}"
-[listen]
-outbound = "${ip}:${CALLER_PORT}"
-inbound = "${ip}:${PEER_PORT}"
-ready = "${ip}:${READY_PORT}"
-[limits]
-memoryMb = 350
-[bounds]
-grace = "6s"
-retryBudgetRatio = 0.2
-budgetWindow = "10s"
-budgetSlack = 49
-[platform]
-address = "${STORE_IP}:${storePort}"
-`;
-}
-
 async function startHost(directory: string, storePort: number, at: number): Promise<DemoHost> {
   const ip = `${SUBNET}.${at + 1}`;
   const zone = ZONES[at] ?? 'a';
   const backend = new PlatformBackend(`i-${at + 1}`);
   const backendPort = await listen(backend.server, ip);
   const file = join(directory, `${ip}.toml`);
-  await writeFile(file, settingsOf(ip, zone, backendPort, storePort));
+  await writeFile(
+    file,
+    settingsFileOf({
+      node: `node-${ip}`,
+      ip,
+      zone,
+      service: 'stock',
+      backend: `${ip}:${backendPort}`,
+      store: `${STORE_IP}:${storePort}`,
+      callerPort: CALLER_PORT,
+      peerPort: PEER_PORT,
+      readyPort: READY_PORT,
+    }),
+  );
   const node = spawn('dist/almondhoist', ['node', '--platform'], {
     env: { ALMONDHOIST_CONFIG: file },
     stdio: 'ignore',
--- a/src/sidecar/backend-health.ts
+++ b/src/sidecar/backend-health.ts
@@ -1,17 +1,18 @@
 import { Client } from 'undici';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { HealthReport } from '../core/exchange/incoming-request.js';
-import type { Milliseconds } from '../core/model/time.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 
 /** What a health request came to. */
 export type HealthFinding =
   | { readonly kind: 'answered'; readonly report: HealthReport }
   | { readonly kind: 'refused' }
-  | { readonly kind: 'silent' };
+  | { readonly kind: 'silent'; readonly askedAt: Instant };
 
 /** What the health requests need. */
 export interface BackendHealthOptions {
   readonly url: string;
+  readonly clock: Clock;
   readonly dialect: Dialect;
   readonly onFinding: (finding: HealthFinding) => void;
 }
@@ -19,7 +20,7 @@
 /** A health answer waits for a slot like any other, so a busy backend server takes a while. */
 const ANSWER_TIMEOUT_MS: Milliseconds = 1000;
 
-/** A backend server that is down is asked this often whether it is back. */
+/** A backend server that gave no answer of use is asked this often. */
 const RETRY_INTERVAL_MS: Milliseconds = 250;
 
 /** Asks the backend server for its health when there is a reason to. */
@@ -64,7 +65,8 @@
     void this.#request(this.#path).then((finding) => {
       this.#isAsking = false;
       if (this.#isClosed) return;
-      if (finding.kind !== 'answered') {
+      const isUseful = finding.kind === 'answered' && finding.report.instanceId !== null;
+      if (!isUseful) {
         this.#retry = setTimeout(() => this.ask(), RETRY_INTERVAL_MS);
       }
       this.#options.onFinding(finding);
@@ -78,6 +80,7 @@
   }
 
   async #request(path: string): Promise<HealthFinding> {
+    const askedAt = this.#options.clock.now();
     const client = new Client(this.#options.url, {
       connect: { timeout: ANSWER_TIMEOUT_MS },
       headersTimeout: ANSWER_TIMEOUT_MS,
@@ -94,7 +97,7 @@
       // The finding itself is logged by the gate when it changes the condition.
       const code = error instanceof Error && 'code' in error ? error.code : '';
       const isRefused = code === 'ECONNREFUSED' || code === 'ECONNRESET';
-      return isRefused ? { kind: 'refused' } : { kind: 'silent' };
+      return isRefused ? { kind: 'refused' } : { kind: 'silent', askedAt };
     } finally {
       void client.destroy();
     }
--- a/src/sidecar/backend-watch.ts
+++ b/src/sidecar/backend-watch.ts
@@ -1,7 +1,15 @@
+import {
+  decideBelief,
+  emptyBelief,
+  type BackendBelief,
+  type BackendFinding,
+  type BackendSign,
+} from '../core/dispatch/backend-belief.js';
 import type { Condition } from '../core/dispatch/dispatch-state.js';
 import type { InstanceId } from '../core/directory/instance.js';
 import type { Dialect } from '../core/exchange/dialect.js';
-import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import type { Clock } from '../core/model/time.js';
+import { Task } from '../core/task/task.js';
 import type { ExchangeEnd } from './backend-exchange.js';
 import { BackendHealth, type HealthFinding } from './backend-health.js';
 
@@ -16,43 +24,67 @@
   readonly crashed: (fingerprints: readonly string[]) => void;
 }
 
-/** A connection that broke under a request, which may be the sign of a crash. */
-interface Break {
-  readonly fingerprint: string;
-  readonly at: Instant;
+/** The sign that a health request gives. */
+function signOf(finding: HealthFinding): BackendSign {
+  switch (finding.kind) {
+    case 'refused':
+      return { kind: 'health-refused' };
+    case 'silent':
+      return { kind: 'health-silent', askedAt: finding.askedAt };
+    case 'answered': {
+      const { instanceId, warmUpLeftMs } = finding.report;
+      return instanceId === null
+        ? { kind: 'health-rejected' }
+        : { kind: 'health-answered', instanceId, warmUpLeftMs };
+    }
+  }
 }
 
-/** Breaks this shortly before a crash was seen belong to it. */
-const CRASH_WINDOW_MS: Milliseconds = 1000;
+/** The sign that the end of an exchange gives, or null when it says nothing. */
+function signOfEnd(fingerprint: string, end: ExchangeEnd): BackendSign | null {
+  switch (end.kind) {
+    case 'answered':
+      return { kind: 'answered' };
+    case 'shed':
+      return end.head.isMisdirected ? { kind: 'misdirected' } : { kind: 'answered' };
+    case 'unsent':
+      return end.isRefusedConnection ? { kind: 'connection-refused' } : null;
+    case 'failed':
+      return end.isBroken ? { kind: 'connection-broken', fingerprint } : null;
+  }
+}
 
-/**
- * Finds out from exchanges and health answers whether the backend server is down, cold or warm,
- * and which run of it answers.
- */
+/** Owner of what is believed of the backend server, and of its health requests. */
 export class BackendWatch {
   readonly #options: BackendWatchOptions;
 
   readonly #health: BackendHealth;
 
-  #breaks: readonly Break[] = [];
-
-  #instance: InstanceId | null = null;
+  readonly #task: Task<BackendBelief, BackendSign, BackendFinding>;
 
   /**
    * @param options - the backend server and the gate's handlers
    */
   constructor(options: BackendWatchOptions) {
     this.#options = options;
+    const { url, clock, dialect } = options;
+    this.#task = new Task({
+      initial: emptyBelief,
+      decide: decideBelief,
+      clock,
+      perform: (finding) => this.#perform(finding),
+    });
     this.#health = new BackendHealth({
-      url: options.url,
-      dialect: options.dialect,
-      onFinding: (finding) => this.#learnHealth(finding),
+      url,
+      clock,
+      dialect,
+      onFinding: (finding) => this.#task.send(signOf(finding)),
     });
   }
 
   /** @returns the run that answers at the address, as its last health answer named it */
   get instance(): InstanceId | null {
-    return this.#instance;
+    return this.#task.state.instance;
   }
 
   /**
@@ -70,13 +102,12 @@
   }
 
   /**
-   * Holds requests back until the health has been read.
+   * Learns a sign that is no end of an exchange.
    *
-   * @param reason - why the backend server may have started anew
+   * @param sign - the sign
    */
-  suspect(reason: string): void {
-    this.#options.changed({ kind: 'unknown' }, reason);
-    this.#health.ask();
+  learn(sign: BackendSign): void {
+    this.#task.send(sign);
   }
 
   /**
@@ -85,21 +116,9 @@
    * @param fingerprint - fingerprint of the request
    * @param end - how the exchange ended
    */
-  learn(fingerprint: string, end: ExchangeEnd): void {
-    const now = this.#options.clock.now();
-    switch (end.kind) {
-      case 'answered':
-        break;
-      case 'shed':
-        if (end.head.isMisdirected) this.suspect('another run answered');
-        break;
-      case 'unsent':
-        if (end.isRefusedConnection) this.#goDown(now, 'it refuses connections');
-        break;
-      case 'failed':
-        if (end.isBroken) this.#recordBreak(fingerprint, now);
-        break;
-    }
+  learnEnd(fingerprint: string, end: ExchangeEnd): void {
+    const sign = signOfEnd(fingerprint, end);
+    if (sign !== null) this.#task.send(sign);
   }
 
   /** Asks no more. */
@@ -107,47 +126,17 @@
     this.#health.close();
   }
 
-  #recordBreak(fingerprint: string, now: Instant): void {
-    const recent = this.#breaks.filter(({ at }) => now - at < CRASH_WINDOW_MS);
-    this.#breaks = [...recent, { fingerprint, at: now }];
-    this.#health.ask();
-  }
-
-  #goDown(now: Instant, reason: string): void {
-    this.#reportCrash(now);
-    this.#options.changed({ kind: 'down' }, reason);
-    this.#health.ask();
-  }
-
-  #reportCrash(now: Instant): void {
-    const fingerprints = this.#breaks
-      .filter(({ at }) => now - at < CRASH_WINDOW_MS)
-      .map(({ fingerprint }) => fingerprint);
-    this.#breaks = [];
-    if (fingerprints.length > 0) this.#options.crashed(fingerprints);
-  }
-
-  #learnHealth(finding: HealthFinding): void {
-    const now = this.#options.clock.now();
+  #perform(finding: BackendFinding): void {
     switch (finding.kind) {
-      case 'refused':
-        this.#reportCrash(now);
-        this.#options.changed({ kind: 'down' }, 'it refuses connections');
+      case 'condition':
+        this.#options.changed(finding.condition, finding.reason);
         break;
-      case 'silent':
-        this.#options.changed({ kind: 'down' }, 'it does not answer');
+      case 'crashed':
+        this.#options.crashed(finding.fingerprints);
         break;
-      case 'answered': {
-        const { instanceId, warmUpLeftMs } = finding.report;
-        if (instanceId !== null) {
-          if (this.#instance !== null && this.#instance !== instanceId) this.#reportCrash(now);
-          this.#instance = instanceId;
-        }
-        const condition: Condition =
-          warmUpLeftMs > 0 ? { kind: 'cold', until: now + warmUpLeftMs } : { kind: 'warm' };
-        this.#options.changed(condition, 'its health answer');
+      case 'ask-health':
+        this.#health.ask();
         break;
-      }
     }
   }
 }
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -142,10 +142,13 @@
       });
     }
     this.#close(closed);
-    const isNewRun =
-      listed !== null &&
-      (before?.id !== listed.id || before.startedAtUnixMs !== listed.startedAtUnixMs);
-    if (isNewRun) this.#watch.suspect('a new entry in the directory');
+    if (listed === null) return;
+    const isNewRun = before?.id !== listed.id || before.startedAtUnixMs !== listed.startedAtUnixMs;
+    if (isNewRun) this.#suspect('a new entry in the directory');
+    // A backend server may become cold again without a new run.
+    else if (listed.warmUpLeftMs > 0 && before.warmUpLeftMs === 0) {
+      this.#watch.learn({ kind: 'warming-up-listed' });
+    }
   }
 
   /** Takes no new calls any more. */
@@ -156,7 +159,7 @@
 
   /** The backend server may have started anew meanwhile, so its health is asked before a call. */
   recheck(reason: string): void {
-    this.#watch.suspect(reason);
+    this.#suspect(reason);
   }
 
   /**
@@ -208,6 +211,10 @@
     await this.#connections.close();
   }
 
+  #suspect(reason: string): void {
+    this.#watch.learn({ kind: 'suspected', reason });
+  }
+
   #close(code: CodeName | null): void {
     const next = this.#isStopping ? 'nodeLeaving' : code;
     if (this.#task.state.closed === next) return;
@@ -218,7 +225,7 @@
       reason: next ?? 'none',
     });
     // Backend servers may have become cold while their zone was out.
-    if (wasOut && next === null) this.#watch.suspect('its zone takes work again');
+    if (wasOut && next === null) this.#suspect('its zone takes work again');
   }
 
   #mismatch({ instance, service }: MeshCall): CodeName | null {
@@ -283,7 +290,7 @@
       this.#task.send({ kind: 'ended', ticket, end: 'failed' });
       return;
     }
-    this.#watch.learn(found.call.fingerprint, end);
+    this.#watch.learnEnd(found.call.fingerprint, end);
     switch (end.kind) {
       case 'answered':
         this.#options.completed(found.call.fingerprint);
--- a/src/sidecar/mesh-task.ts
+++ b/src/sidecar/mesh-task.ts
@@ -41,6 +41,14 @@
 const IDLE_LIMIT_MS: Milliseconds = 30_000;
 const INCOMING_IDLE_LIMIT_MS: Milliseconds = 60_000;
 
+/**
+ * A mask of zeros leaves the bytes of a frame as they are. Masks protect caches between browsers
+ * and servers; on a link between two nodes they only cost a copy of each body.
+ */
+function leaveUnmasked(mask: Buffer): void {
+  mask.fill(0);
+}
+
 /** Owner of the connections to other nodes. */
 export class MeshTask {
   readonly #options: MeshTaskOptions;
@@ -165,6 +173,7 @@
       handshakeTimeout: CONNECT_TIMEOUT_MS,
       maxPayload: maxFrameBytes,
       skipUTF8Validation: true,
+      generateMask: leaveUnmasked,
     });
     let settle = (): void => {};
     const ready = new Promise<void>((resolve) => {
@@ -175,7 +184,7 @@
       clock,
       onEvent: (event) => {
         if (event.kind === 'opened' || event.kind === 'closed') settle();
-        this.#receive(address, event, link);
+        this.#receive(event, link, address);
       },
     });
     const outgoing: Outgoing = { link, ready };
@@ -183,13 +192,12 @@
     return outgoing;
   }
 
-  #receive(address: string, event: MeshLinkEvent, link: MeshLink): void {
-    const { onEvent, node, address: own, clock } = this.#options;
+  /** Handles an event of a link; `address` is null for a link that a peer opened. */
+  #receive(event: MeshLinkEvent, link: MeshLink, address: string | null): void {
+    const { onEvent } = this.#options;
     switch (event.kind) {
       case 'opened':
-        this.#failedAt.delete(address);
-        link.send({ kind: 'hello', node, address: own });
-        onEvent({ kind: 'link-opened', address });
+        if (address !== null) this.#opened(link, address);
         break;
       case 'frame':
         onEvent({ kind: 'frame', frame: event.frame, link });
@@ -198,35 +206,38 @@
         onEvent({ kind: 'frame-invalid', reason: event.reason });
         break;
       case 'closed':
-        if (this.#outgoing.get(address)?.link === link) this.#outgoing.delete(address);
-        if (!event.isFault) break;
-        this.#failedAt.set(address, clock.now());
-        onEvent({ kind: 'link-lost', address, reason: event.reason });
+        if (address === null) {
+          this.#incoming.delete(link);
+          onEvent({ kind: 'caller-lost', link });
+        } else this.#closed(link, address, event);
         break;
     }
   }
 
-  #accept(socket: WebSocket): void {
+  #opened(link: MeshLink, address: string): void {
+    const { onEvent, node, address: own } = this.#options;
+    this.#failedAt.delete(address);
+    link.send({ kind: 'hello', node, address: own });
+    onEvent({ kind: 'link-opened', address });
+  }
+
+  #closed(
+    link: MeshLink,
+    address: string,
+    { reason, isFault }: Extract<MeshLinkEvent, { readonly kind: 'closed' }>,
+  ): void {
+    if (this.#outgoing.get(address)?.link === link) this.#outgoing.delete(address);
+    if (!isFault) return;
     const { onEvent, clock } = this.#options;
+    this.#failedAt.set(address, clock.now());
+    onEvent({ kind: 'link-lost', address, reason });
+  }
+
+  #accept(socket: WebSocket): void {
     const link: MeshLink = new MeshLink({
       socket,
-      clock,
-      onEvent: (event) => {
-        switch (event.kind) {
-          case 'opened':
-            break;
-          case 'frame':
-            onEvent({ kind: 'frame', frame: event.frame, link });
-            break;
-          case 'invalid':
-            onEvent({ kind: 'frame-invalid', reason: event.reason });
-            break;
-          case 'closed':
-            this.#incoming.delete(link);
-            onEvent({ kind: 'caller-lost', link });
-            break;
-        }
-      },
+      clock: this.#options.clock,
+      onEvent: (event) => this.#receive(event, link, null),
     });
     this.#incoming.add(link);
   }
--- /dev/null
+++ b/standin/platform-settings.ts
@@ -0,0 +1,45 @@
+/** Addresses and names of a host in the settings file that the platform writes. */
+export interface HostSettings {
+  readonly node: string;
+  readonly ip: string;
+  readonly zone: string;
+  readonly service: string;
+  /** `IP:port` of the backend server. */
+  readonly backend: string;
+  /** `IP:port` of the store. */
+  readonly store: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+  readonly readyPort: number;
+}
+
+/**
+ * Writes the settings file of a host as the platform does.
+ *
+ * @param host - addresses and names of the host
+ * @returns the text of the file
+ */
+export function settingsFileOf(host: HostSettings): string {
+  const { node, ip, zone, service, backend, store, callerPort, peerPort, readyPort } = host;
+  return `
+nodeName = "${node}"
+ip = "${ip}"
+zone = "${zone}"
+service = "${service}"
+appAddr = "${backend}"
+unknown = 1
+[listen]
+outbound = "${ip}:${callerPort}"
+inbound = "${ip}:${peerPort}"
+ready = "${ip}:${readyPort}"
+[limits]
+memoryMb = 350
+[bounds]
+grace = "6s"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+budgetSlack = 49
+[platform]
+address = "${store}"
+`;
+}
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -4,30 +4,21 @@
 import { httpDialect } from '../../platform/http-dialect.js';
 import { publishedFactReader } from '../../platform/published-values.js';
 import { parsePlatformSettings } from '../../platform/settings.js';
+import { settingsFileOf } from '../../standin/platform-settings.js';
 import { valueOf } from '../results.js';
 import { POLICY } from '../sidecar/fleet.js';
 
-const SETTINGS = `
-nodeName = "n"
-ip = "10.0.0.1"
-zone = "a"
-appAddr = "10.0.0.1:80"
-service = "stock"
-unknown = 1
-[listen]
-inbound = "10.0.0.1:1"
-outbound = "10.0.0.1:2"
-ready = "10.0.0.1:3"
-[limits]
-memoryMb = 350
-[bounds]
-grace = "6s"
-retryBudgetRatio = 0.2
-budgetWindow = "10s"
-budgetSlack = 49
-[platform]
-address = "10.0.0.9:4"
-`;
+const SETTINGS = settingsFileOf({
+  node: 'n',
+  ip: '10.0.0.1',
+  zone: 'a',
+  service: 'stock',
+  backend: '10.0.0.1:80',
+  store: '10.0.0.9:4',
+  callerPort: 2,
+  peerPort: 1,
+  readyPort: 3,
+});
 
 function faultsOf(text: string): readonly Fault[] {
   return parsePlatformSettings(text, 'file').match(
