Learn how long the backend server keeps idle connections

Ruled out: a new connection for each order (1 ms and a slot each). Test: with connections forgotten after 150 ms, the second order after a pause failed before and is answered after.

--- a/src/sidecar/backend-connections.ts
+++ b/src/sidecar/backend-connections.ts
@@ -1,15 +1,37 @@
 import { Client } from 'undici';
-import type { Milliseconds } from '../core/model/time.js';
+import {
+  initialIdleLimit,
+  maxIdleMs,
+  recordIdleBreak,
+  type IdleLimit,
+} from '../core/dispatch/idle-limit.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 
-/** One connection to the backend server; it carries one request at a time. */
-export type BackendConnection = Client;
+/** A connection to the backend server that carries one request. */
+export interface BackendConnection {
+  readonly client: Client;
+  /** How long it had been idle before the request; 0 for a new one. */
+  readonly idleMs: Milliseconds;
+}
+
+/** What the connections need. */
+export interface BackendConnectionsOptions {
+  /** Base URL of the backend server. */
+  readonly url: string;
+  readonly clock: Clock;
+}
+
+interface Idle {
+  readonly client: Client;
+  readonly since: Instant;
+}
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1000;
 
-/** Backend servers close idle connections after some seconds; one in doubt is not kept. */
+/** Upper bound of the library; the learned limit is the one that binds. */
 const KEEP_ALIVE_MS: Milliseconds = 4000;
 
-function openConnection(url: string): BackendConnection {
+function openClient(url: string): Client {
   const client = new Client(url, {
     pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -27,24 +49,34 @@
  * connection would leave open which of several requests had reached the backend server.
  */
 export class BackendConnections {
-  readonly #url: string;
+  readonly #options: BackendConnectionsOptions;
 
   /** Connections without a request; the one used last is used next. */
-  readonly #idle: BackendConnection[] = [];
+  readonly #idle: Idle[] = [];
+
+  readonly #busy = new Set<Client>();
 
-  readonly #busy = new Set<BackendConnection>();
+  #idleLimit: IdleLimit = initialIdleLimit;
 
   /**
-   * @param url - base URL of the backend server
+   * @param options - the backend server and the clock
    */
-  constructor(url: string) {
-    this.#url = url;
+  constructor(options: BackendConnectionsOptions) {
+    this.#options = options;
   }
 
   /** @returns a connection for one request; it has to be given back */
   take(): BackendConnection {
-    const connection = this.#idle.pop() ?? openConnection(this.#url);
-    this.#busy.add(connection);
+    const now = this.#options.clock.now();
+    const limitMs = maxIdleMs(this.#idleLimit, now);
+    const latest = this.#idle.pop();
+    const isFresh = latest !== undefined && now - latest.since <= limitMs;
+    // The one used last is too old, so the others are as well.
+    if (!isFresh && latest !== undefined) this.#drop([...this.#idle.splice(0), latest]);
+    const connection = isFresh
+      ? { client: latest.client, idleMs: now - latest.since }
+      : { client: openClient(this.#options.url), idleMs: 0 };
+    this.#busy.add(connection.client);
     return connection;
   }
 
@@ -53,13 +85,30 @@
    *
    * @param connection - the connection
    */
-  giveBack(connection: BackendConnection): void {
-    if (this.#busy.delete(connection)) this.#idle.push(connection);
+  giveBack({ client }: BackendConnection): void {
+    if (this.#busy.delete(client)) {
+      this.#idle.push({ client, since: this.#options.clock.now() });
+    }
+  }
+
+  /**
+   * Learns that a connection broke under its request before any answer.
+   *
+   * @param connection - the connection
+   */
+  broke({ idleMs }: BackendConnection): void {
+    this.#idleLimit = recordIdleBreak(this.#idleLimit, idleMs, this.#options.clock.now());
   }
 
   /** Closes all connections at once. */
   async close(): Promise<void> {
-    const all = [...this.#idle, ...this.#busy];
+    const all = [...this.#idle.map(({ client }) => client), ...this.#busy];
     await Promise.all(all.map((client) => client.destroy()));
   }
+
+  #drop(idle: readonly Idle[]): void {
+    idle.forEach(({ client }) => {
+      void client.destroy();
+    });
+  }
 }
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -96,7 +96,7 @@
       perform: (effect) => this.#perform(effect),
     });
     const { url, clock, dialect, crashed } = options;
-    this.#connections = new BackendConnections(url);
+    this.#connections = new BackendConnections({ url, clock });
     this.#watch = new BackendWatch({
       url,
       clock,
@@ -270,7 +270,7 @@
       onEnd: (end) => this.#ended(ticket, end),
     });
     this.#runs.set(ticket, { exchange, connection, startedAt: now });
-    connection.dispatch(
+    connection.client.dispatch(
       {
         path: call.path,
         method: call.method,
@@ -291,6 +291,8 @@
       return;
     }
     this.#watch.learnEnd(found.call.fingerprint, end);
+    const isBrokenEarly = end.kind === 'failed' && end.isBroken && end.code === 'serverFailed';
+    if (isBrokenEarly && run !== undefined) this.#connections.broke(run.connection);
     switch (end.kind) {
       case 'answered':
         this.#options.completed(found.call.fingerprint);
--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -63,6 +63,11 @@
 
   healthChecks = 0;
 
+  /** Connections that were idle for longer are reset by their next request; null keeps them. */
+  forgetsIdleAfterMs: number | null = null;
+
+  readonly #lastUse = new WeakMap<object, number>();
+
   /**
    * @param instance - identifier of this run of the backend server
    */
@@ -74,7 +79,20 @@
     this.server.keepAliveTimeout = 60_000;
   }
 
+  /** Whether the connection has been forgotten since its last request. */
+  #isForgotten({ socket }: IncomingMessage): boolean {
+    const now = performance.now();
+    const lastUse = this.#lastUse.get(socket);
+    this.#lastUse.set(socket, now);
+    const limitMs = this.forgetsIdleAfterMs;
+    return limitMs !== null && lastUse !== undefined && now - lastUse > limitMs;
+  }
+
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#isForgotten(request)) {
+      request.socket.resetAndDestroy();
+      return;
+    }
     if (request.url === HEALTH_PATH) {
       this.healthChecks += 1;
       const warmUp = this.warmUpMs > 0 ? { 'Warmup-Ms': String(this.warmUpMs) } : {};
--- a/test/sidecar/request-path.test.ts
+++ b/test/sidecar/request-path.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { HOST, KEY, openFleet, until } from './fleet.js';
 
 const ONE_HOST = [{ service: 'stock', zone: 'a' }] as const;
@@ -139,3 +140,21 @@
   await call;
   await until('the end of the run', () => stock.backend.abandoned.includes('h1'));
 });
+
+test('at-most-once requests are not sent twice on connections that the server forgets', async (t) => {
+  // Guards against every order after a pause being lost on a connection that looks open.
+  const fleet = await openFleet(t, { hosts: ONE_HOST });
+  const [host] = fleet.hosts;
+  assert.ok(host !== undefined);
+  host.backend.forgetsIdleAfterMs = 150;
+  const order = async (id: string): Promise<number> => {
+    const answer = await fleet.call(host, { id, path: '/order/1', method: 'POST', body: 'x' });
+    return answer.status;
+  };
+  assert.equal(await order('i1'), 200);
+  await sleep(300);
+  assert.equal(await order('i2'), 502);
+  assert.equal(await order('i3'), 200);
+  await sleep(300);
+  assert.equal(await order('i4'), 200);
+});
