Spare higher ranks while lower ones have room, and log what refused a request

Now only routes whose calls were lost further down share a pressure, a higher rank is spared while more than 0.15 of a lower one is let in, and the fraction returns faster. The shortest wait of a refused caller grows with the refused share.

--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
-import type { CodeName } from '../errors/registry.js';
+import type { CodeName, Details } from '../errors/registry.js';
 import type { RequestId, ServiceName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import { findRoute, type PolicyLookup } from '../policy/policy-lookup.js';
@@ -12,6 +12,14 @@
 export interface EntryRefusal {
   readonly code: CodeName;
   readonly retryAfterMs: Milliseconds;
+  /** Inputs of the decision, for the log. */
+  readonly details: Details;
+}
+
+/** Why the quota or the load of a route keeps a request out. */
+export interface Limitation {
+  readonly retryAfterMs: Milliseconds;
+  readonly details: Details;
 }
 
 /** A request after its filters, ready to be placed. */
@@ -32,10 +40,10 @@
 export interface AdmissionView {
   readonly lookup: () => PolicyLookup | null;
   readonly isQuarantined: (fingerprint: string) => boolean;
-  /** @returns time until a token is expected, or null when the request is inside the quota */
-  readonly spendQuota: (account: QuotaAccount) => Milliseconds | null;
-  /** @returns whether a request may come in under the load that its route meets */
-  readonly admitLoad: (route: PrefixRoute, rank: Rank) => boolean;
+  /** @returns null when the request is inside the quota */
+  readonly spendQuota: (account: QuotaAccount) => Limitation | null;
+  /** @returns null when a request may come in under the load that its route meets */
+  readonly limitLoad: (route: PrefixRoute, rank: Rank) => Limitation | null;
   readonly chooseService: (route: PrefixRoute) => ServiceName | null;
   /** @returns a time after which a refused caller may come back */
   readonly returnDelayMs: (route: PrefixRoute) => Milliseconds;
@@ -47,8 +55,12 @@
 /** An answer has to leave a little before the caller gives up, or it would be of no use. */
 const CALLER_MARGIN_MS: Milliseconds = 15;
 
-function refusal(code: CodeName, retryAfterMs: Milliseconds = 0): EntryRefusal {
-  return { code, retryAfterMs };
+function refusal(
+  code: CodeName,
+  retryAfterMs: Milliseconds = 0,
+  details: Details = {},
+): EntryRefusal {
+  return { code, retryAfterMs, details };
 }
 
 /** A request whose route and account are known. */
@@ -65,12 +77,13 @@
   if (lookup === null) return err(refusal('notReady', DEFAULT_RETRY_AFTER_MS));
   const { requestId } = request;
   if (requestId === null || requestId === '') return err(refusal('requestMalformed'));
+  const inForce: Details = { version: lookup.policy.version };
   const route = findRoute(lookup, request.host, request.path);
-  if (route === null) return err(refusal('noRoute'));
+  if (route === null) return err(refusal('noRoute', 0, { ...inForce, host: request.host }));
   const isOpen = route.access === 'open' || lookup.policy.accounts === null;
   const account = request.key === null ? null : (lookup.accounts.get(request.key) ?? null);
-  if (!isOpen && request.key === null) return err(refusal('keyMissing'));
-  if (!isOpen && account === null) return err(refusal('keyUnknown'));
+  if (!isOpen && request.key === null) return err(refusal('keyMissing', 0, inForce));
+  if (!isOpen && account === null) return err(refusal('keyUnknown', 0, inForce));
   return ok({ requestId, request, route, account });
 }
 
@@ -122,11 +135,15 @@
     };
     const service = view.chooseService(route);
     if (service === null) return err(refusal('noBackendServer', view.returnDelayMs(route)));
-    if (!rank.isNested && !view.admitLoad(route, rank)) {
-      return err(refusal('overloadedEarly', view.returnDelayMs(route)));
+    // A refused call of a running request wastes the work of its parent.
+    const overload = rank.isNested ? null : view.limitLoad(route, rank);
+    if (overload !== null) {
+      return err(refusal('overloadedEarly', overload.retryAfterMs, overload.details));
+    }
+    const excess = account === null ? null : view.spendQuota(account);
+    if (excess !== null) {
+      return err(refusal('rateExceeded', excess.retryAfterMs, excess.details));
     }
-    const waitMs = account === null ? null : view.spendQuota(account);
-    if (waitMs !== null) return err(refusal('rateExceeded', waitMs));
     return ok({
       requestId,
       request,
--- a/src/core/quota/quota.ts
+++ b/src/core/quota/quota.ts
@@ -24,7 +24,7 @@
 const MAX_CORRECTION = 1.2;
 
 /** How the node divides an account's quota with the others. */
-type Division =
+export type Division =
   /** The account asks for less than its rate, so its tokens may be used where they are needed. */
   | { readonly kind: 'calm'; readonly allotted: number; readonly at: Instant }
   /** The account asks for more, so each node refills its own bucket with its share. */
@@ -56,6 +56,10 @@
   readonly isAdmitted: boolean;
   /** Time until a token is expected; 0 when admitted. */
   readonly retryAfterMs: Milliseconds;
+  /** Tokens that this node had for the account. */
+  readonly tokens: number;
+  /** How the quota is divided with the other nodes, and since when. */
+  readonly division: Division;
 }
 
 /** What a node knows of the fleet. */
@@ -148,7 +152,10 @@
   view: QuotaView,
   now: Instant,
 ): QuotaStep {
-  if (account.ratePerSecond === 0) return { state, isAdmitted: true, retryAfterMs: 0 };
+  if (account.ratePerSecond === 0) {
+    const division: Division = { kind: 'untold' };
+    return { state, isAdmitted: true, retryAfterMs: 0, tokens: Infinity, division };
+  }
   const known = state.get(account.name) ?? startQuota(account, view, now);
   const quota = refresh(known, account, view, now);
   const tokens = available(quota, account, now);
@@ -159,6 +166,8 @@
     state: new Map(state).set(account.name, isAdmitted ? spend(counted) : counted),
     isAdmitted,
     retryAfterMs: isAdmitted ? 0 : ((1 - tokens) * 1000) / refillPerSecond,
+    tokens,
+    division: quota.division,
   };
 }
 
--- a/src/core/shedding/root-admission.ts
+++ b/src/core/shedding/root-admission.ts
@@ -9,8 +9,8 @@
 
 /** Growth without pressure: slow near zero, then by a part of what is let in. */
 const INCREASE_STEP = 0.02;
-const INCREASE_SHARE = 0.2;
-const MIN_FRACTION = 0.05;
+const INCREASE_SHARE = 0.4;
+const MIN_FRACTION = 0.1;
 
 /**
  * Pressure at which requests of the highest rank are refused. Each lower rank gives way at this
@@ -49,11 +49,12 @@
   admission: RootAdmission,
   pressure: number,
   rank: Rank,
+  isSpared: boolean,
   now: Instant,
 ): RootAdmission {
   if (now - admission.adjustedAt < ADJUST_INTERVAL_MS) return admission;
   const threshold = thresholdOf(rank);
-  const excess = pressure - threshold;
+  const excess = isSpared ? Math.min(0, pressure - threshold) : pressure - threshold;
   const fraction =
     excess > 0
       ? Math.max(MIN_FRACTION, admission.fraction * (1 - DECREASE_SHARE * excess))
@@ -71,6 +72,7 @@
  * @param before - admission of requests of this kind
  * @param pressure - pressure of the services that such requests use, from 0 to 1
  * @param rank - rank of the request
+ * @param isSpared - whether less important requests still have room to give
  * @param now - the current instant
  * @returns the decision and the next admission
  */
@@ -78,9 +80,10 @@
   before: RootAdmission,
   pressure: number,
   rank: Rank,
+  isSpared: boolean,
   now: Instant,
 ): RootAdmissionStep {
-  const admission = adjusted(before, pressure, rank, now);
+  const admission = adjusted(before, pressure, rank, isSpared, now);
   const credit = Math.min(2, admission.credit + admission.fraction);
   return credit >= 1
     ? { admission: { ...admission, credit: credit - 1 }, isAdmitted: true }
--- a/src/sidecar/entry-task.ts
+++ b/src/sidecar/entry-task.ts
@@ -90,9 +90,12 @@
     const { view, origin } = this.#options;
     return admitRequest(view, request, origin, arrivedAt).match(
       (admitted) => this.#place(admitted),
-      ({ code, retryAfterMs }) => {
+      ({ code, retryAfterMs, details }) => {
         const outcome: MeshOutcome = { kind: 'refused', code, retryAfterMs, wasOffered: false };
-        this.#logEnd(request.requestId ?? '', outcome, arrivedAt, { path: request.path });
+        this.#logEnd(request.requestId ?? '', outcome, arrivedAt, {
+          path: request.path,
+          ...details,
+        });
         return { outcome: Promise.resolve(outcome), cancel: () => {} };
       },
     );
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -1,5 +1,10 @@
-import type { AdmittedRequest } from '../core/exchange/admission-pipeline.js';
-import type { GateLoad, MeshOutcome } from '../core/exchange/mesh-call.js';
+import type { AdmittedRequest, Limitation } from '../core/exchange/admission-pipeline.js';
+import {
+  compareRanks,
+  type GateLoad,
+  type MeshOutcome,
+  type Rank,
+} from '../core/exchange/mesh-call.js';
 import type { RouteName } from '../core/model/names.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { PrefixRoute } from '../core/policy/policy.js';
@@ -42,9 +47,21 @@
   }
 }
 
-/** A route counts as one that meets overload for this time after one of its requests did. */
+/** A route counts as one whose calls meet overload for this time after one of them did. */
 const AFFECTED_MS: Milliseconds = 3000;
 
+/** Requests of higher ranks are spared while more than this fraction of lower ones is let in. */
+const SPARED_FRACTION = 0.15;
+
+/** Requests of a kind that has not come for this time leave no room to take back. */
+const RECENT_MS: Milliseconds = 1000;
+
+/** Admission of the requests of one route and rank. */
+interface RankedAdmission extends RootAdmission {
+  readonly route: RouteName;
+  readonly rank: Rank;
+}
+
 /** The part of a request that the load task needs. */
 export type LoadSubject = Pick<AdmittedRequest, 'route' | 'rank'>;
 
@@ -55,13 +72,13 @@
   /** Pressure that new requests of each route meet. */
   readonly #pressures = new Map<RouteName, PressureView>();
 
-  /** When a request of each route was last lost for lack of room. */
+  /** When a request of each route last lost one of its calls for lack of room. */
   readonly #lostAt = new Map<RouteName, Instant>();
 
   /** Highest pressure on calls of the own backend server. */
   #nested: PressureView = noPressure;
 
-  readonly #admissions = new Map<string, RootAdmission>();
+  readonly #admissions = new Map<string, RankedAdmission>();
 
   /**
    * @param options - clock and randomness
@@ -91,7 +108,7 @@
       return;
     }
     const isLost = isOverload(outcome, load);
-    if (isLost) this.#lostAt.set(route.name, now);
+    if (isLost && outcome.kind === 'answered') this.#lostAt.set(route.name, now);
     // Waits further down concern only routes whose requests get there.
     const pressure = this.#isAffected(route.name, now)
       ? Math.max(load.pressure, load.downstreamPressure)
@@ -104,27 +121,46 @@
    * Decides whether a request is let in.
    *
    * @param subject - the request
-   * @returns whether it is let in
+   * @returns null when it is let in
    */
-  admit({ route, rank }: LoadSubject): boolean {
+  limit({ route, rank }: LoadSubject): Limitation | null {
     const now = this.#options.clock.now();
     const key = `${route.name} ${rank.accountPriority}`;
     const pressure = this.#pressureOn(route.name, now);
     const before = this.#admissions.get(key) ?? openAdmission;
-    const { admission, isAdmitted } = admitRoot(before, pressure, rank, now);
-    this.#admissions.set(key, admission);
-    return isAdmitted;
+    const isSpared = this.#isAffected(route.name, now) && this.#isRoomBelow(rank, now);
+    const { admission, isAdmitted } = admitRoot(before, pressure, rank, isSpared, now);
+    this.#admissions.set(key, { ...admission, rank, route: route.name });
+    if (isAdmitted) return null;
+    const details = {
+      route: route.name,
+      pressure: Math.round(pressure * 100) / 100,
+      admitted: Math.round(admission.fraction * 100) / 100,
+    };
+    return { retryAfterMs: this.returnDelayMs(route), details };
+  }
+
+  /** Whether less important requests whose calls meet overload are still let in. */
+  #isRoomBelow(rank: Rank, now: Instant): boolean {
+    return [...this.#admissions.values()].some(
+      (other) =>
+        compareRanks(rank, other.rank) < 0 &&
+        other.fraction > SPARED_FRACTION &&
+        now - other.adjustedAt < RECENT_MS &&
+        this.#isAffected(other.route, now),
+    );
   }
 
   /**
-   * A route that meets overload gives way at the highest pressure that any route meets here: the
-   * routes share a service further down, and the least important of them have to make room.
+   * Routes whose calls meet overload give way at the highest pressure that any of them meets: they
+   * share a service further down, and the least important of them have to make room.
    */
   #pressureOn(route: RouteName, now: Instant): number {
     const own = pressureNow(this.#pressures.get(route) ?? noPressure, now);
     if (!this.#isAffected(route, now)) return own;
-    return [...this.#pressures.values()].reduce(
-      (highest, view) => Math.max(highest, pressureNow(view, now)),
+    return [...this.#pressures].reduce(
+      (highest, [other, view]) =>
+        this.#isAffected(other, now) ? Math.max(highest, pressureNow(view, now)) : highest,
       own,
     );
   }
@@ -145,6 +181,8 @@
       .filter(([key]) => key.startsWith(`${route.name} `))
       .reduce((most, [, { fraction }]) => Math.max(most, 1 - fraction), 0);
     const longest = RETURN_DELAY_MIN_MS + (RETURN_DELAY_MAX_MS - RETURN_DELAY_MIN_MS) * refused;
-    return RETURN_DELAY_MIN_MS + this.#options.random() * (longest - RETURN_DELAY_MIN_MS);
+    // The more is refused, the less an early return helps: it would be refused again.
+    const shortest = RETURN_DELAY_MIN_MS + (longest - RETURN_DELAY_MIN_MS) * (refused / 2);
+    return shortest + this.#options.random() * (longest - shortest);
   }
 }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -31,9 +31,10 @@
 
 /**
  * Pause between the answer of a watch and the next one. Changes come in groups and each call is
- * paid for; the pause is a fifth of the shortest time in which a change has to be in force.
+ * paid for; the pause is two fifths of the shortest time in which a change has to be in force,
+ * which leaves the rest for a slow store and for a peer that passes the change on.
  */
-const WATCH_PAUSE_MS: Milliseconds = 400;
+const WATCH_PAUSE_MS: Milliseconds = 800;
 
 /** Pause after a failed call; doubled with each further one. */
 const RETRY_MIN_MS: Milliseconds = 200;
--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -1,3 +1,4 @@
+import type { Limitation } from '../core/exchange/admission-pipeline.js';
 import type { AccountName } from '../core/model/names.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { QuotaAccount } from '../core/policy/policy.js';
@@ -74,13 +75,22 @@
    * Spends a token for a request.
    *
    * @param account - the account
-   * @returns null when the request is inside the quota, otherwise the time until a token is due
+   * @returns null when the request is inside the quota
    */
-  spend(account: QuotaAccount): Milliseconds | null {
+  spend(account: QuotaAccount): Limitation | null {
     const now = this.#options.clock.now();
-    const { state, isAdmitted, retryAfterMs } = admit(this.#quotas, account, this.#view(now), now);
-    this.#quotas = state;
-    return isAdmitted ? null : retryAfterMs;
+    const step = admit(this.#quotas, account, this.#view(now), now);
+    this.#quotas = step.state;
+    if (step.isAdmitted) return null;
+    const { division, tokens, retryAfterMs } = step;
+    const toldMs = division.kind === 'untold' ? -1 : Math.round(now - division.at);
+    const details = {
+      account: account.name,
+      division: division.kind,
+      toldMs,
+      tokens: Math.round(tokens * 100) / 100,
+    };
+    return { retryAfterMs, details };
   }
 
   /**
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -319,7 +319,7 @@
         lookup: () => this.#policy.lookup,
         isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
         spendQuota: (account) => this.#quota.spend(account),
-        admitLoad: (route, rank) => this.#load.admit({ route, rank }),
+        limitLoad: (route, rank) => this.#load.limit({ route, rank }),
         chooseService: (route) => this.#policy.chooseService(route),
         returnDelayMs: (route) => this.#load.returnDelayMs(route),
       },
--- a/test/core/shedding/call-graph.ts
+++ b/test/core/shedding/call-graph.ts
@@ -113,7 +113,7 @@
     const startedAt = this.#agenda.now;
     const second = Math.floor(startedAt / MS_PER_SECOND);
     const rank: Rank = { isNested: false, accountPriority: 0, routePriority: kind.priority };
-    const isAdmitted = entry.load.admit({ route: routeOf(kind), rank });
+    const isAdmitted = entry.load.limit({ route: routeOf(kind), rank }) === null;
     this.#count(name, second, { asked: 1, completed: 0, refusedAtDoor: isAdmitted ? 0 : 1 });
     if (!isAdmitted) return;
     this.#call(entry, name, false, startedAt + kind.timeoutMs, (isDone) => {
