--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -136,3 +136,33 @@
   other.send({ kind: 'ended', ticket: first, end: 'answered' }, 2);
   assert.ok(other.started.includes(100), 'a new request waits behind all calls');
 });
+
+test('the rate of a cold backend server is spread over the second', () => {
+  // Guards against a request whose next call waits for the next second, since others have taken
+  // all starts of this one.
+  const gate = new Gate(100, 25);
+  gate.send({ kind: 'condition', condition: { kind: 'cold', until: 5000 } }, 0);
+  for (let ticket = 1; ticket <= 20; ticket += 1) gate.arrive(ticket, NESTED, 0);
+  assert.equal(gate.started.length, 5);
+  gate.send({ kind: 'tick' }, 205);
+  assert.equal(gate.started.length, 10);
+});
+
+test('new requests keep a share of a cold rate beside calls of running ones', () => {
+  // Guards against requests that need nothing else and are refused for calls of requests that
+  // fail in the end.
+  const gate = new Gate(100, 25);
+  gate.send({ kind: 'condition', condition: { kind: 'cold', until: 5000 } }, 0);
+  for (let now = 0, ticket = 1; now < 1000; now += 10) {
+    gate.arrive(ticket, NESTED, now);
+    ticket += 1;
+    if (now % 100 === 0) {
+      gate.arrive(ticket, ROOT, now);
+      ticket += 1;
+    }
+    gate.send({ kind: 'tick' }, now);
+  }
+  const roots = gate.started.filter((ticket) => ticket % 11 === 2);
+  assert.ok(roots.length >= 7, `${roots.length} of 10 new requests started`);
+  assert.ok(gate.started.length <= 25);
+});
