Keep the metric of the gate's pressure as its help says

Cause: the load of a gate now tells its own pressure and the one further down apart, and the metric had kept only its own.

--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -108,7 +108,7 @@
 }
 
 /**
- * Runs a request through the filters of the entry: route, key, quarantine, quota, load.
+ * Runs a request through the filters of the entry: route, key, quarantine, load, quota.
  *
  * @param view - what the filters ask of the other tasks
  * @param request - the request
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -413,7 +413,8 @@
       this.#mesh.tell(address, { kind: 'status', ...status });
     });
     this.#metrics.links.set(this.#mesh.size);
-    this.#metrics.pressure.set(this.#gate.load.pressure);
+    const { pressure, downstreamPressure } = this.#gate.load;
+    this.#metrics.pressure.set(Math.max(pressure, downstreamPressure));
   }
 
   #receive(event: MeshEvent): void {
