--- a/src/core/shedding/root-admission.ts
+++ b/src/core/shedding/root-admission.ts
@@ -4,12 +4,17 @@
 /** How often the admitted fraction changes. */
 const ADJUST_INTERVAL_MS: Milliseconds = 100;
 
-/** Part of the admitted fraction that is taken back at full pressure. */
+/**
+ * Part of the admitted fraction that is taken back in each interval for a whole unit of pressure
+ * above the threshold. This and the growth are compared in `docs/decisions/platform-path.md`.
+ */
 const DECREASE_SHARE = 0.3;
 
-/** Growth without pressure: slow near zero, then by a part of what is let in. */
+/** Growth in each interval: a fixed step, and without pressure this part of what is let in. */
 const INCREASE_STEP = 0.02;
 const INCREASE_SHARE = 0.4;
+
+/** Fraction that is always let in, since only its replies show that the pressure has gone. */
 const MIN_FRACTION = 0.1;
 
 /**
