Take requests shed with free slots for a fault of the server, not for load

The gate keeps the number of running requests below the slots, so a request that is shed while most slots are free says nothing about load.

Now a shed request raises the pressure only from half of the limit on, and only counts as overload at the entry when the gate tells pressure.

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -48,6 +48,12 @@
 
 const RETRY_AFTER_MIN_MS: Milliseconds = 200;
 
+/**
+ * Share of the limit from which on a request that the backend server sheds is a sign of load. One
+ * that sheds with most slots free does so whatever is sent, and fewer requests would not help.
+ */
+const SHED_LOAD_SHARE = 0.5;
+
 type DispatchStep = Step<DispatchState, DispatchEffect>;
 
 /** Size of a backend server. */
@@ -294,7 +300,8 @@
     runningNested: state.runningNested - (found.isNested ? 1 : 0),
     serviceTimeMs,
   };
-  return advance(how === 'shed' ? withPressure(next, 1, now) : next, now);
+  const isLoaded = state.running.size >= dispatchLimit(state) * SHED_LOAD_SHARE;
+  return advance(how === 'shed' && isLoaded ? withPressure(next, 1, now) : next, now);
 }
 
 function refuseAll(state: DispatchState, code: 'connectFailed'): DispatchStep {
--- a/src/core/shedding/route-load.ts
+++ b/src/core/shedding/route-load.ts
@@ -26,7 +26,10 @@
 /** A route of which nothing has been told. */
 export const noLoad: RouteLoad = { pressure: noPressure, lostAt: Number.NEGATIVE_INFINITY };
 
-/** Pressure behind a gate from which on a failed run counts as a sign of overload. */
+/**
+ * Pressure at or behind a gate from which on a failed run, or a request that the backend server
+ * shed, counts as a sign of overload. Without it the backend server is at fault, not the load.
+ */
 const OVERLOAD_PRESSURE = 0.2;
 
 const SERVER_ERROR_STATUS = 500;
@@ -48,10 +51,16 @@
  * @param load - load that the gate told with it
  * @returns whether it is a sign of overload
  */
-export function isOverload(outcome: MeshOutcome, { downstreamPressure }: GateLoad): boolean {
+export function isOverload(
+  outcome: MeshOutcome,
+  { pressure, downstreamPressure }: GateLoad,
+): boolean {
   switch (outcome.kind) {
     case 'refused':
-      return outcome.code === 'overloaded' || outcome.code === 'serverShed';
+      return (
+        outcome.code === 'overloaded' ||
+        (outcome.code === 'serverShed' && pressure >= OVERLOAD_PRESSURE)
+      );
     case 'answered':
       return outcome.status >= SERVER_ERROR_STATUS && downstreamPressure >= OVERLOAD_PRESSURE;
     case 'failed':
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -7,6 +7,7 @@
   DispatchState,
 } from '../../../src/core/dispatch/dispatch-state.js';
 import type { Rank } from '../../../src/core/exchange/mesh-call.js';
+import { pressureNow } from '../../../src/core/shedding/pressure-view.js';
 
 const ROOT: Rank = { isNested: false, accountPriority: 0, routePriority: 2 };
 const URGENT: Rank = { isNested: false, accountPriority: 0, routePriority: 0 };
@@ -166,3 +167,17 @@
   assert.ok(roots.length >= 7, `${roots.length} of 10 new requests started`);
   assert.ok(gate.started.length <= 25);
 });
+
+test('a backend server that sheds with most slots free is not taken for one that is full', () => {
+  // Guards against entries that refuse requests since one server sheds whatever it is sent.
+  const shed = (slots: number, arrivals: number): number => {
+    const gate = warmGate(slots);
+    Array.from({ length: arrivals }, (_, at) => at).forEach((ticket) =>
+      gate.arrive(ticket, NESTED, 0),
+    );
+    gate.send({ kind: 'ended', ticket: 0, end: 'shed' }, 10);
+    return pressureNow(gate.state.pressure, 10);
+  };
+  assert.equal(shed(100, 5), 0);
+  assert.ok(shed(100, 80) > 0);
+});
--- a/test/core/shedding/route-load.test.ts
+++ b/test/core/shedding/route-load.test.ts
@@ -68,3 +68,18 @@
   const closed = [order, admissionOf('look', PLAIN, 0.1)];
   assert.equal(isSpared(loads, closed, 'order', URGENT, 100), false);
 });
+
+test('requests shed by a backend server with free slots do not close the door of their route', () => {
+  // Guards against a service whose servers shed at random and whose entries then refuse the rest.
+  const shed: MeshOutcome = {
+    kind: 'refused',
+    code: 'serverShed',
+    retryAfterMs: 0,
+    wasOffered: true,
+  };
+  const idle = { ...LOAD, downstreamPressure: 0 };
+  const pressureAfter = (load: GateLoad): number =>
+    pressureOn(new Map([['look', after([shed, shed, shed, shed], load)]]), 'look', 200);
+  assert.equal(pressureAfter(idle), 0);
+  assert.ok(pressureAfter({ ...idle, pressure: 0.6 }) > 0.3);
+});
