Let one node of a zone read the store for the others

One node of each zone, for every forty nodes, reads the store and sends what it finds to the others after each answer; these answers are the heartbeat of the feed. A follower that hears nothing for 1.3 s, whose link to the reader breaks or whose reader says that the store is lost reads for itself at once. Nothing has to be agreed: a node that is followed reads whatever it thinks of the others. The choice is a pure decision (core/publications/source.ts); policy, directory, store and feed move from sidecar.ts to control-path.ts.

A watch of a reader ends after 0.6 s, since the silence of the feed must tell a reader that is cut off from the store.

Ruled out: two readers a zone (the second only saves the 1.3 s after a reader dies, and doubles the calls); an answer to a question of the follower as heartbeat (it says that the reader lives, not that it has read).

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -505,6 +505,12 @@
       'the entry {key} was removed around an outage of the store and is kept for {holdMs} ms',
     hint: 'Nothing to do; it is dropped unless the backend server registers again.',
   },
+  sourceChanged: {
+    number: 4213,
+    title: 'Source of the published values changed',
+    message: 'published values come from {source} from revision {revision} on',
+    hint: 'Nothing to do; a node whose reader is silent reads the store itself.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the own availability zone',
--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -28,6 +28,17 @@
       /** Whether the sender has read the store without a break for some seconds. */
       readonly isSettled: boolean;
     }
+  /** The sender takes what the receiver reads in the store, and knows this revision. */
+  | { readonly kind: 'follow'; readonly revision: number }
+  /** What a reader has found in the store a moment ago, for its followers; often nothing new. */
+  | {
+      readonly kind: 'feed';
+      readonly changes: readonly Publication[];
+      readonly revision: number;
+      readonly isSettled: boolean;
+    }
+  /** The sender cannot read the store, so its followers get nothing. */
+  | { readonly kind: 'feed-lost' }
   | { readonly kind: 'usage'; readonly usages: readonly Usage[] }
   | { readonly kind: 'totals'; readonly totals: readonly Total[] }
   | { readonly kind: 'marks'; readonly marks: readonly Mark[] }
--- a/src/core/publications/store-reply.ts
+++ b/src/core/publications/store-reply.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '../model/time.js';
 import type { Publication } from './publication.js';
 
 /** What a call to the store of published values came to. */
@@ -19,9 +20,10 @@
   readonly list: () => Promise<StoreReply>;
   /**
    * @param after - revision that is known
+   * @param waitMs - longest wait for a change, in milliseconds
    * @returns the changes after it, as soon as there is one or after a wait
    */
-  readonly watch: (after: number) => Promise<StoreReply>;
+  readonly watch: (after: number, waitMs: Milliseconds) => Promise<StoreReply>;
   /** Gives up the call that waits, and its connection. */
   readonly cancel: () => void;
 }
--- /dev/null
+++ b/src/sidecar/feed-task.ts
@@ -0,0 +1,216 @@
+import type { CodeName, Details } from '../core/errors/registry.js';
+import type { MeshFrame } from '../core/exchange/mesh-frame.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import {
+  chooseReader,
+  decideSource,
+  FOLLOWED_MS,
+  initialSource,
+  type ReaderChoice,
+  type Source,
+  type SourceEffect,
+  type SourceMessage,
+  type SourceState,
+} from '../core/publications/source.js';
+import { Task } from '../core/task/task.js';
+import type { MeshLink } from './mesh-link.js';
+import type { PeerTable } from './peer-table.js';
+import type { PublicationTask } from './publication-task.js';
+
+/** What the feed task needs of its node. */
+export interface FeedTaskOptions {
+  readonly clock: Clock;
+  readonly peers: PeerTable;
+  readonly publications: PublicationTask;
+  readonly tell: (address: string, frame: MeshFrame) => void;
+  readonly report: (code: CodeName, details: Details) => void;
+}
+
+/** A frame between a reader of the store and its followers. */
+export type FeedFrame = Extract<MeshFrame, { readonly kind: 'follow' | 'feed' | 'feed-lost' }>;
+
+/** How often the choice of the source is looked at; a silent feed is noticed within this time. */
+const TICK_MS: Milliseconds = 200;
+
+/** How often a follower tells its reader that it is there, and what it knows. */
+const FOLLOW_INTERVAL_MS: Milliseconds = 1000;
+
+/** A reader that could not read the store is passed over for this time. */
+const LOST_READER_PAUSE_MS: Milliseconds = 3000;
+
+function describe(source: Source): string {
+  switch (source.kind) {
+    case 'store':
+      return 'the store';
+    case 'feed':
+      return `the reader ${source.address}`;
+  }
+}
+
+/**
+ * Passes what one node of a zone reads in the store on to the others of the zone, so that the
+ * calls to the store do not grow with the number of nodes.
+ */
+export class FeedTask {
+  readonly #options: FeedTaskOptions;
+
+  readonly #source: Task<SourceState, SourceMessage, SourceEffect>;
+
+  /** Links of the followers, with the instant at which each last asked. */
+  readonly #followers = new Map<MeshLink, Instant>();
+
+  /** When a reader said that it cannot read the store. */
+  readonly #lostReaders = new Map<string, Instant>();
+
+  readonly #ticker: NodeJS.Timeout;
+
+  /** Followers know everything up to this revision. */
+  #fedRevision = 0;
+
+  #askedAt: Instant = Number.NEGATIVE_INFINITY;
+
+  /**
+   * @param options - clock, peers and the reader of the store
+   */
+  constructor(options: FeedTaskOptions) {
+    this.#options = options;
+    this.#source = new Task({
+      initial: initialSource,
+      decide: decideSource,
+      clock: options.clock,
+      perform: ({ source }) => this.#changeSource(source),
+    });
+    this.#ticker = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /**
+   * Handles a frame of a reader or of a follower.
+   *
+   * @param frame - the frame
+   * @param link - link on which it came
+   * @param from - address of the sender, or null when it is not known
+   */
+  receive(frame: FeedFrame, link: MeshLink, from: string | null): void {
+    switch (frame.kind) {
+      case 'follow':
+        this.#follow(link, frame.revision);
+        break;
+      case 'feed': {
+        const { changes, revision, isSettled } = frame;
+        this.#options.publications.receiveFeed(changes, revision, isSettled);
+        this.#source.send({ kind: 'fed' });
+        break;
+      }
+      case 'feed-lost':
+        if (from !== null) this.#loseReader(from);
+        break;
+    }
+  }
+
+  /** The store has answered: the followers get what is new, or learn that nothing is. */
+  storeAnswered(): void {
+    // The next call depends on whether peers wait for what it finds.
+    this.#chooseReader();
+    const { publications } = this.#options;
+    const { revision } = publications.status;
+    const known = this.#fedRevision;
+    this.#fedRevision = revision;
+    if (this.#followers.size === 0) return;
+    const changes = publications.changesAfter(known);
+    this.#tellFollowers({ kind: 'feed', changes, revision, isSettled: publications.isSettled });
+  }
+
+  /** The store cannot be read here: the followers have to look elsewhere. */
+  storeLost(): void {
+    this.#tellFollowers({ kind: 'feed-lost' });
+  }
+
+  /**
+   * The link to a peer broke.
+   *
+   * @param address - the peer's address
+   */
+  peerLost(address: string): void {
+    const { reader } = this.#source.state;
+    if (reader.kind === 'this-node' || reader.address !== address) return;
+    this.#source.send({ kind: 'feed-lost' });
+    this.#chooseReader();
+  }
+
+  /** Ends the choice of sources. */
+  close(): void {
+    clearInterval(this.#ticker);
+  }
+
+  #follow(link: MeshLink, revision: number): void {
+    const { clock } = this.#options;
+    const { publications } = this.#options;
+    this.#followers.set(link, clock.now());
+    this.#source.send({ kind: 'followed' });
+    const { status } = publications;
+    if (status.isStoreLost) link.send({ kind: 'feed-lost' });
+    if (revision >= status.revision) return;
+    const changes = publications.changesAfter(revision);
+    const { isSettled } = publications;
+    link.send({ kind: 'changes', changes, revision: status.revision, isSettled });
+  }
+
+  #tellFollowers(frame: FeedFrame): void {
+    const now = this.#options.clock.now();
+    this.#followers.forEach((askedAt, link) => {
+      if (!link.isOpen || now - askedAt > FOLLOWED_MS) this.#followers.delete(link);
+      else link.send(frame);
+    });
+  }
+
+  #loseReader(address: string): void {
+    this.#lostReaders.set(address, this.#options.clock.now());
+    this.peerLost(address);
+  }
+
+  #tick(): void {
+    this.#chooseReader();
+    this.#source.send({ kind: 'tick' });
+    this.#ask();
+  }
+
+  #chooseReader(): void {
+    const { peers, clock } = this.#options;
+    const now = clock.now();
+    const isUsable = (address: string): boolean => {
+      const lostAt = this.#lostReaders.get(address) ?? Number.NEGATIVE_INFINITY;
+      return now - lostAt >= LOST_READER_PAUSE_MS && peers.isReachable(address);
+    };
+    const chosen = chooseReader(peers.own, peers.readers, isUsable);
+    if (this.#isChosen(chosen)) return;
+    this.#source.send({ kind: 'reader-chosen', reader: chosen });
+    this.#askedAt = Number.NEGATIVE_INFINITY;
+  }
+
+  #isChosen(choice: ReaderChoice): boolean {
+    const { reader } = this.#source.state;
+    switch (choice.kind) {
+      case 'this-node':
+        return reader.kind === 'this-node' && reader.isAlone === choice.isAlone;
+      case 'peer':
+        return reader.kind === 'peer' && reader.address === choice.address;
+    }
+  }
+
+  /** Tells the reader that this node is there. */
+  #ask(): void {
+    const { clock, tell, publications } = this.#options;
+    const { reader } = this.#source.state;
+    const now = clock.now();
+    if (reader.kind === 'this-node' || now - this.#askedAt < FOLLOW_INTERVAL_MS) return;
+    this.#askedAt = now;
+    tell(reader.address, { kind: 'follow', revision: publications.status.revision });
+  }
+
+  #changeSource(source: Source): void {
+    const { report, publications } = this.#options;
+    const { revision } = publications.status;
+    report('sourceChanged', { source: describe(source), revision });
+    publications.setSource(source);
+  }
+}
--- a/src/sidecar/frame-router.ts
+++ b/src/sidecar/frame-router.ts
@@ -1,5 +1,6 @@
 import type { MeshFrame } from '../core/exchange/mesh-frame.js';
 import type { CrashTask } from '../runtime/crash-task.js';
+import type { FeedTask } from './feed-task.js';
 import type { GateServer } from './gate-server.js';
 import type { MeshLink } from './mesh-link.js';
 import type { PeerTable } from './peer-table.js';
@@ -11,6 +12,7 @@
   readonly peers: PeerTable;
   readonly gate: GateServer;
   readonly publications: PublicationTask;
+  readonly feed: FeedTask;
   readonly quota: QuotaTask;
   readonly crashes: CrashTask;
   /** @returns address of the peer of a link that this node opened, or null */
@@ -48,7 +50,7 @@
    * @param link - link on which it came
    */
   receive(frame: MeshFrame, link: MeshLink): void {
-    const { peers, gate, publications, quota, crashes } = this.#options;
+    const { peers, gate, publications, feed, quota, crashes } = this.#options;
     switch (frame.kind) {
       case 'hello':
         this.#callers.set(link, frame.address);
@@ -66,6 +68,11 @@
       case 'changes':
         publications.receive(frame.changes, frame.revision, frame.isSettled);
         break;
+      case 'follow':
+      case 'feed':
+      case 'feed-lost':
+        feed.receive(frame, link, this.#addressOf(link));
+        break;
       case 'usage': {
         const node = this.#callers.get(link) ?? 'unknown';
         link.send({ kind: 'totals', totals: quota.reported(node, frame.usages) });
@@ -78,7 +85,7 @@
         crashes.send({ kind: 'marks-received', marks: frame.marks });
         break;
       case 'leaving': {
-        const address = this.#callers.get(link) ?? this.#options.addressOf(link);
+        const address = this.#addressOf(link);
         if (address !== null) peers.leaving(address);
         break;
       }
@@ -90,6 +97,11 @@
     }
   }
 
+  /** Address of the peer at the other end of a link, whoever opened it. */
+  #addressOf(link: MeshLink): string | null {
+    return this.#callers.get(link) ?? this.#options.addressOf(link);
+  }
+
   /** A peer that is behind gets what it lacks; one that is ahead is asked for it. */
   #answerStatus(link: MeshLink, theirs: number): void {
     const { publications } = this.#options;
--- a/src/sidecar/peer-table.ts
+++ b/src/sidecar/peer-table.ts
@@ -1,10 +1,12 @@
 import { ipOf, type Directory } from '../core/directory/directory.js';
+import type { ZoneName } from '../core/model/names.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { rankByRendezvous } from '../core/routing/rendezvous.js';
 
 /** What the table of peers needs. */
 export interface PeerTableOptions {
   readonly ip: string;
+  readonly zone: ZoneName;
   /** Port on which all nodes listen for each other. */
   readonly port: number;
   readonly clock: Clock;
@@ -25,6 +27,9 @@
   /** Addresses without the own one, sorted. */
   #peers: readonly string[] = [];
 
+  /** Addresses of the own zone with the own one, in an order on which its nodes agree. */
+  #ranked: readonly string[] = [];
+
   readonly #leavingUntil = new Map<string, Instant>();
 
   /**
@@ -61,6 +66,9 @@
     const ips = new Set(directory.instances.map(({ address }) => ipOf(address)));
     ips.delete(this.#options.ip);
     this.#peers = [...ips].map((ip) => this.addressOf(ip)).sort();
+    const inZone = directory.instances.filter(({ zone }) => zone === this.#options.zone);
+    const addresses = inZone.map(({ address }) => this.addressOf(ipOf(address)));
+    this.#ranked = rankByRendezvous('published values', [this.own, ...addresses]);
   }
 
   /**
@@ -91,6 +99,11 @@
     return leavingUntil <= clock.now() && !isUnreachable(address);
   }
 
+  /** @returns nodes of the own zone with this one; the first ones read the store for the others */
+  get readers(): readonly string[] {
+    return this.#ranked.length === 0 ? [this.own] : this.#ranked;
+  }
+
   /** @returns the next reachable peers in the order of addresses, which forms a ring */
   get neighbours(): readonly string[] {
     const { own } = this;
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -12,6 +12,7 @@
   type Mirror,
 } from '../core/publications/mirror.js';
 import type { Publication } from '../core/publications/publication.js';
+import type { Source } from '../core/publications/source.js';
 import type { StoreReader, StoreReply } from '../core/publications/store-reply.js';
 import type { PublicationStatus } from '../core/exchange/mesh-frame.js';
 
@@ -25,16 +26,26 @@
   readonly report: (code: CodeName, details: Details) => void;
   /** Policy or directory changed. */
   readonly changed: (policy: Policy | null, directory: Directory) => void;
+  /** The store has answered, so what is known here is complete up to this instant. */
+  readonly answered: () => void;
   /** The store was lost or regained, so the peers should know. */
   readonly statusChanged: () => void;
 }
 
 /**
- * Pause between the answer of a watch and the next one. Changes come in groups and each call is
- * paid for; the pause is two fifths of the shortest time in which a change has to be in force,
- * which leaves the rest for a slow store and for a peer that passes the change on.
+ * Pause between the answer of a watch and the next one, and the longest wait of a watch. Changes
+ * come in groups and each call is paid for. Together they are the longest silence of a feed, after
+ * which followers read the store themselves, so they stay below the 1.3 s for which these wait.
  */
-const WATCH_PAUSE_MS: Milliseconds = 800;
+const WATCH_PAUSE_MS: Milliseconds = 400;
+const WATCH_WAIT_MS: Milliseconds = 600;
+
+/**
+ * The same for a node that nobody follows. The pause is two fifths of the shortest time in which
+ * a change has to be in force; the wait ends so that a dead watch is noticed.
+ */
+const ALONE_PAUSE_MS: Milliseconds = 800;
+const ALONE_WAIT_MS: Milliseconds = 10_000;
 
 /** Pause after a failed call; doubled with each further one. */
 const RETRY_MIN_MS: Milliseconds = 200;
@@ -63,9 +74,14 @@
   /** Removals that count only at an instant, with the value as it was. */
   readonly #held = new Map<string, { readonly until: Instant; readonly was: Publication }>();
 
-  #isClosed = false;
+  #source: Source = { kind: 'store', isAlone: true };
+
+  /** Whether a listing has to show what was removed before a watch goes on from there. */
+  #isListingDue = true;
 
-  #retry: NodeJS.Timeout | null = null;
+  #isReading = false;
+
+  #isClosed = false;
 
   /**
    * @param options - the store and the node's handlers
@@ -86,13 +102,22 @@
 
   /** Starts to read. */
   start(): void {
-    void this.#readAll();
+    void this.#read();
+  }
+
+  /**
+   * Reads the store from now on, or leaves that to a reader.
+   *
+   * @param source - where the published values come from
+   */
+  setSource(source: Source): void {
+    this.#source = source;
+    void this.#read();
   }
 
   /** Reads no more. */
   close(): void {
     this.#isClosed = true;
-    if (this.#retry !== null) clearTimeout(this.#retry);
     this.#options.store.cancel();
   }
 
@@ -115,41 +140,93 @@
    */
   receive(changes: readonly Publication[], revision: number, isSettled: boolean): void {
     const next = applyChanges(this.#mirror, changes, revision, this.#options.clock.now());
-    this.#apply(next, isSettled);
+    this.#apply(next, isSettled || this.isSettled);
   }
 
-  async #readAll(): Promise<void> {
-    const { store } = this.#options;
-    let reply = await store.list();
-    while (!this.#isClosed) {
-      if (!this.#learn(reply)) return;
+  /**
+   * Applies what a reader has read in the store for this node.
+   *
+   * @param changes - the changes
+   * @param revision - revision up to which they are complete
+   * @param isSettled - whether removals count at once
+   */
+  receiveFeed(changes: readonly Publication[], revision: number, isSettled: boolean): void {
+    this.#regain();
+    const now = this.#options.clock.now();
+    this.#apply(applyChanges(this.#mirror, changes, revision, now), isSettled);
+  }
+
+  get #isNeeded(): boolean {
+    return !this.#isClosed && this.#source.kind === 'store';
+  }
+
+  /** Reads for as long as the source is the store; one call is under way at a time. */
+  async #read(): Promise<void> {
+    if (this.#isReading) return;
+    this.#isReading = true;
+    while (this.#isNeeded) {
+      // Each call begins where the one before it has ended.
       // eslint-disable-next-line no-await-in-loop
-      if (reply.kind === 'changes' && reply.changes.length > 0) await sleep(WATCH_PAUSE_MS);
-      // A lost history is followed by a fresh listing, anything else by the next watch.
+      const reply = await this.#call();
+      if (this.#isClosed) break;
+      this.#learn(reply);
       // eslint-disable-next-line no-await-in-loop
-      reply = await (reply.kind === 'history-lost'
-        ? store.list()
-        : store.watch(this.#mirror.revision));
+      await sleep(this.#pauseAfter(reply), undefined, { ref: false });
+    }
+    this.#isReading = false;
+  }
+
+  get #isAlone(): boolean {
+    return this.#source.kind === 'store' && this.#source.isAlone;
+  }
+
+  #call(): Promise<StoreReply> {
+    const { store } = this.#options;
+    return this.#isListingDue
+      ? store.list()
+      : store.watch(this.#mirror.revision, this.#isAlone ? ALONE_WAIT_MS : WATCH_WAIT_MS);
+  }
+
+  #pauseAfter(reply: StoreReply): Milliseconds {
+    switch (reply.kind) {
+      case 'listing':
+      case 'history-lost':
+        return 0;
+      case 'changes':
+        if (reply.changes.length === 0) return 0;
+        return this.#isAlone ? ALONE_PAUSE_MS : WATCH_PAUSE_MS;
+      case 'unavailable': {
+        const pauseMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** (this.#failures - 1));
+        return pauseMs * (0.5 + this.#options.random());
+      }
     }
   }
 
-  /** Applies a reply; false when reading goes on after a pause. */
-  #learn(reply: StoreReply): boolean {
+  #learn(reply: StoreReply): void {
     const now = this.#options.clock.now();
     switch (reply.kind) {
       case 'listing':
+        this.#isListingDue = false;
         this.#regain();
-        this.#apply(applyListing(this.#mirror, reply.publications, reply.asOf, now), false);
-        return true;
+        this.#apply(
+          applyListing(this.#mirror, reply.publications, reply.asOf, now),
+          this.isSettled,
+        );
+        this.#options.answered();
+        break;
       case 'changes':
         this.#regain();
-        this.#apply(applyChanges(this.#mirror, reply.changes, reply.asOf, now), false);
-        return true;
+        this.#apply(applyChanges(this.#mirror, reply.changes, reply.asOf, now), this.isSettled);
+        this.#options.answered();
+        break;
       case 'history-lost':
-        return true;
+        this.#isListingDue = true;
+        break;
       case 'unavailable':
+        // After an outage a listing shows what was removed meanwhile.
+        this.#isListingDue = true;
         this.#lose(reply.reason);
-        return false;
+        break;
     }
   }
 
@@ -165,31 +242,21 @@
   }
 
   #lose(reason: string): void {
-    const { clock, random, report, statusChanged } = this.#options;
+    const { clock, report, statusChanged } = this.#options;
     const isNew = this.#lostAt === null;
     this.#lostAt ??= clock.now();
     this.#failures += 1;
-    const pauseMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** (this.#failures - 1));
-    if (!this.#isClosed) {
-      // After an outage a listing shows what was removed meanwhile.
-      this.#retry = setTimeout(
-        () => {
-          void this.#readAll();
-        },
-        pauseMs * (0.5 + random()),
-      );
-    }
     if (!isNew) return;
     report('storeLost', { reason, revision: this.#mirror.revision });
     statusChanged();
   }
 
-  #apply(next: Mirror, isSettledSource: boolean): void {
+  #apply(next: Mirror, isSettled: boolean): void {
     if (next === this.#mirror) return;
     const before = this.#mirror;
     this.#mirror = next;
     if (next.publications === before.publications) return;
-    if (!isSettledSource && !this.isSettled) this.#holdRemovals(before, next);
+    if (!isSettled) this.#holdRemovals(before, next);
     this.#announce();
   }
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultAsync } from 'neverthrow';
-import { emptyDirectory, instanceAt, ipOf, type Directory } from '../core/directory/directory.js';
+import { instanceAt, ipOf } from '../core/directory/directory.js';
 import type { Instance } from '../core/directory/instance.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
 import { formatFault, type Fault } from '../core/errors/fault.js';
@@ -8,7 +8,6 @@
 import type { MeshCall } from '../core/exchange/mesh-call.js';
 import type { Log } from '../core/logs/log-entry.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
-import type { Policy } from '../core/policy/policy.js';
 import type { FactReader } from '../core/publications/interpretation.js';
 import type { StoreReader } from '../core/publications/store-reply.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
@@ -16,6 +15,7 @@
 import { listen } from '../runtime/listen.js';
 import { newIncarnation } from '../runtime/request-ids.js';
 import { BoundedLog } from './bounded-log.js';
+import { ControlPath, type ControlEvent } from './control-path.js';
 import { DispatchTask } from './dispatch-task.js';
 import { EntryTask } from './entry-task.js';
 import { FrameRouter } from './frame-router.js';
@@ -24,8 +24,6 @@
 import { LoadTask } from './load-task.js';
 import { MeshTask, type MeshEvent } from './mesh-task.js';
 import { PeerTable } from './peer-table.js';
-import { PolicyTask } from './policy-task.js';
-import { PublicationTask } from './publication-task.js';
 import { QuotaTask } from './quota-task.js';
 import { readyServer, type ReadyPaths } from './ready-listener.js';
 import { RequestListener } from './request-listener.js';
@@ -81,8 +79,6 @@
 
   readonly #metrics = new SidecarMetrics();
 
-  readonly #policy = new PolicyTask();
-
   readonly #peers: PeerTable;
 
   readonly #mesh: MeshTask;
@@ -101,7 +97,7 @@
 
   readonly #crashes: CrashTask;
 
-  readonly #publications: PublicationTask;
+  readonly #control: ControlPath;
 
   readonly #callers: RequestListener;
 
@@ -109,8 +105,6 @@
 
   readonly #timers: readonly NodeJS.Timeout[];
 
-  #directory: Directory = emptyDirectory;
-
   #isStopping = false;
 
   /**
@@ -125,6 +119,7 @@
     this.#peers = new PeerTable({
       ip: settings.ip,
       port: settings.peerAddress.port,
+      zone: settings.zone,
       clock,
       isUnreachable: (address) => this.#mesh.isUnreachable(address),
     });
@@ -153,11 +148,12 @@
       isStopping: () => this.#isStopping,
       unread: (code) => this.#metrics.answers.inc({ code }),
     });
-    this.#publications = this.#createPublications();
+    this.#control = this.#createControl();
     this.#router = new FrameRouter({
       peers: this.#peers,
       gate: new GateServer(this.#gate),
-      publications: this.#publications,
+      publications: this.#control.publications,
+      feed: this.#control.feed,
       quota: this.#quota,
       crashes: this.#crashes,
       addressOf: (link) => this.#mesh.addressOf(link),
@@ -176,7 +172,7 @@
 
   /** @returns whether the node takes new work */
   get isReady(): boolean {
-    return this.#policy.lookup !== null && !this.#isStopping;
+    return this.#control.lookup !== null && !this.#isStopping;
   }
 
   /** @returns whether the own backend server is known and takes requests */
@@ -186,7 +182,7 @@
 
   /** @returns number of backend servers in the directory */
   get knownBackendServers(): number {
-    return this.#directory.instances.length;
+    return this.#control.directory.instances.length;
   }
 
   /**
@@ -196,7 +192,7 @@
    */
   start(): ResultAsync<void, Fault> {
     const { callerAddress, peerAddress, readyAddress } = this.#settings;
-    this.#publications.start();
+    this.#control.start();
     return ResultAsync.combine([
       listen(this.#callers.server, callerAddress),
       listen(this.#mesh.server, peerAddress),
@@ -257,7 +253,7 @@
 
   async #close(): Promise<void> {
     this.#timers.forEach((timer) => clearInterval(timer));
-    [this.#publications, this.#quota, this.#crashes].forEach((task) => task.close());
+    [this.#control, this.#quota, this.#crashes].forEach((task) => task.close());
     [this.#callers.server, this.#ready].forEach((server) => {
       server.close();
       server.closeAllConnections();
@@ -316,14 +312,14 @@
       zone: this.#settings.zone,
       origin: this.#settings.service,
       view: {
-        lookup: () => this.#policy.lookup,
+        lookup: () => this.#control.lookup,
         isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
         spendQuota: (account) => this.#quota.spend(account),
         limitLoad: (route, rank) => this.#load.limit({ route, rank }),
-        chooseService: (route) => this.#policy.chooseService(route),
+        chooseService: (route) => this.#control.policy.chooseService(route),
         returnDelayMs: (route) => this.#load.returnDelayMs(route),
       },
-      directory: () => this.#directory,
+      directory: () => this.#control.directory,
       send: (instance, call) => this.#send(instance, call),
       isReachable: (instance) => this.#isReachable(instance),
       mayRepeat: (service) => {
@@ -358,60 +354,50 @@
     );
   }
 
-  #createPublications(): PublicationTask {
+  #createControl(): ControlPath {
     const { clock, random, store, readFact } = this.#outside;
-    return new PublicationTask({
+    return new ControlPath({
       clock,
       random,
       store,
       readFact,
+      peers: this.#peers,
+      seeds: () => this.#settings.seeds,
+      tell: (address, frame) => this.#mesh.tell(address, frame),
       report: this.#event,
-      changed: (policy, directory) => this.#apply(policy, directory),
-      statusChanged: () => this.#tellStatus(),
-    });
-  }
-
-  #apply(policy: Policy | null, directory: Directory): void {
-    this.#directory = directory;
-    this.#peers.update(directory);
-    if (policy !== null && this.#policy.apply(policy)) this.#policyApplied(policy);
-    this.#entry.directoryChanged(directory);
-    this.#updateGate();
-    const leaving = directory.instances.filter(({ state }) => state === 'leaving').length;
-    this.#event('directoryChanged', {
-      serving: directory.instances.length - leaving,
-      leaving,
-      zonesOut: [...directory.zonesOut].join(',') || 'none',
+      onEvent: (event) => this.#handleControl(event),
     });
   }
 
-  #policyApplied(policy: Policy): void {
-    this.#callers.setLimits(policy.limits);
-    this.#quota.setAccounts(policy.accounts ?? []);
-    this.#metrics.policyVersion.set(policy.version);
-    const { revision } = this.#publications.status;
-    this.#event('policyApplied', { version: policy.version, revision });
+  #handleControl(event: ControlEvent): void {
+    switch (event.kind) {
+      case 'policy-applied':
+        this.#callers.setLimits(event.policy.limits);
+        this.#quota.setAccounts(event.policy.accounts ?? []);
+        this.#metrics.policyVersion.set(event.policy.version);
+        break;
+      case 'directory-changed':
+        this.#entry.directoryChanged(event.directory);
+        this.#updateGate();
+        break;
+    }
   }
 
   #updateGate(): void {
-    const own = instanceAt(this.#directory, this.#backendAddress);
-    const services = this.#policy.lookup?.services;
+    const own = instanceAt(this.#control.directory, this.#backendAddress);
+    const services = this.#control.lookup?.services;
     const profile = own === null ? null : (services?.get(own.service) ?? null);
     this.#gate.update(own, profile, this.#closedReason(own));
   }
 
   #closedReason(own: Instance | null): CodeName | null {
     if (own === null || own.state === 'leaving') return 'nodeLeaving';
-    return this.#directory.zonesOut.has(own.zone) ? 'zoneOut' : null;
+    return this.#control.directory.zonesOut.has(own.zone) ? 'zoneOut' : null;
   }
 
-  /** Tells the neighbours what is known here, and the seeds while nothing is. */
+  /** Tells the neighbours how far this node knows the published values, and the metrics. */
   #tellStatus(): void {
-    const seeds = this.#policy.lookup === null ? this.#settings.seeds : [];
-    const { status } = this.#publications;
-    [...this.#peers.neighbours, ...seeds].forEach((address) => {
-      this.#mesh.tell(address, { kind: 'status', ...status });
-    });
+    this.#control.tellStatus();
     this.#metrics.links.set(this.#mesh.size);
     const { pressure, downstreamPressure } = this.#gate.load;
     this.#metrics.pressure.set(Math.max(pressure, downstreamPressure));
@@ -426,6 +412,7 @@
         this.#peers.arrived(event.address);
         break;
       case 'link-lost':
+        this.#control.feed.peerLost(event.address);
         this.#event('peerLost', { address: event.address, reason: event.reason });
         break;
       case 'frame-invalid':
--- /dev/null
+++ b/test/core/publications/source.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  chooseReader,
+  decideSource,
+  initialSource,
+  type Source,
+  type SourceMessage,
+} from '../../../src/core/publications/source.js';
+
+const READER = { kind: 'peer', address: '10.0.0.2:7000' } as const;
+const FEED: Source = { kind: 'feed', address: READER.address };
+const OWN_READS: Source = { kind: 'store', isAlone: false };
+
+/** Longest time for a change to be in force on the users' platform; a read takes 0.25 s of it. */
+const IN_FORCE_MS = 2000;
+const SLOW_READ_MS = 250;
+
+function sourceAfter(messages: readonly (readonly [number, SourceMessage])[]): Source {
+  return messages.reduce((state, [at, message]) => decideSource(state, message, at).state, {
+    ...initialSource,
+  }).source;
+}
+
+test('a node reads the store itself until its reader has fed it', () => {
+  // Guards against a node that starts with what a peer may have known long ago.
+  const chosen = [0, { kind: 'reader-chosen', reader: READER }] as const;
+  assert.deepEqual(sourceAfter([chosen]), OWN_READS);
+  assert.deepEqual(sourceAfter([chosen, [10, { kind: 'fed' }]]), FEED);
+});
+
+test('a node whose reader is silent reads in time for changes to be in force', () => {
+  // Guards against changes that do not come since the reader is dead, cut off or slow.
+  const fed = [
+    [0, { kind: 'reader-chosen', reader: READER }],
+    [10, { kind: 'fed' }],
+  ] as const;
+  const latest = 10 + IN_FORCE_MS - SLOW_READ_MS;
+  assert.deepEqual(sourceAfter([...fed, [1100, { kind: 'tick' }]]), FEED);
+  assert.deepEqual(sourceAfter([...fed, [latest, { kind: 'tick' }]]), OWN_READS);
+});
+
+test('a node whose reader says that it cannot read takes over at once', () => {
+  // Guards against waiting for a reader that the store turns away.
+  const messages = [
+    [0, { kind: 'reader-chosen', reader: READER }],
+    [10, { kind: 'fed' }],
+    [20, { kind: 'feed-lost' }],
+  ] as const;
+  assert.deepEqual(sourceAfter(messages), OWN_READS);
+});
+
+test('a node that is followed reads the store even if it has a reader', () => {
+  // Guards against nodes with different views that follow each other and read nothing.
+  const messages = [
+    [0, { kind: 'reader-chosen', reader: READER }],
+    [10, { kind: 'fed' }],
+    [20, { kind: 'followed' }],
+  ] as const;
+  assert.deepEqual(sourceAfter(messages), OWN_READS);
+  const later = [...messages, [5000, { kind: 'fed' }]] as const;
+  assert.deepEqual(sourceAfter(later), FEED);
+});
+
+test('a change of the reader keeps what the last one told a moment ago', () => {
+  // Guards against a burst of reads when a reader leaves in order.
+  const next = { kind: 'peer', address: '10.0.0.3:7000' } as const;
+  const messages = [
+    [0, { kind: 'reader-chosen', reader: READER }],
+    [10, { kind: 'fed' }],
+    [500, { kind: 'reader-chosen', reader: next }],
+  ] as const;
+  assert.deepEqual(sourceAfter(messages), { kind: 'feed', address: next.address });
+});
+
+test('the nodes of a zone agree on a reader, and on the next one when it is gone', () => {
+  // Guards against calls to the store that grow with the number of nodes.
+  const zone = Array.from({ length: 20 }, (_, at) => `10.0.0.${at}:7000`);
+  const [first = '', second = ''] = zone;
+  const readersOf = (isUsable: (address: string) => boolean) =>
+    new Set(
+      zone
+        .filter((own) => isUsable(own))
+        .map((own) => {
+          const choice = chooseReader(own, zone, isUsable);
+          return choice.kind === 'peer' ? choice.address : own;
+        }),
+    );
+  assert.deepEqual(
+    readersOf(() => true),
+    new Set([first]),
+  );
+  assert.deepEqual(
+    readersOf((address) => address !== first),
+    new Set([second]),
+  );
+});
+
+test('a large zone has a reader for every forty nodes', () => {
+  // Guards against a reader that spends its processor on feeding hundreds of followers.
+  const zone = Array.from({ length: 400 }, (_, at) => `10.0.${Math.floor(at / 200)}.${at % 200}:1`);
+  const followers = new Map<string, number>();
+  zone.forEach((own) => {
+    const choice = chooseReader(own, zone, () => true);
+    if (choice.kind === 'this-node') return;
+    followers.set(choice.address, (followers.get(choice.address) ?? 0) + 1);
+  });
+  assert.equal(followers.size, 10);
+  assert.ok(Math.max(...followers.values()) <= 80, `${Math.max(...followers.values())} followers`);
+});
