Soak real node processes under kills, freezes, stops and outages

npm run soak:processes starts six nodes with two services, whose first calls the second, and sends 60 requests a second while faults drawn from a seed strike, several at a time: killed, frozen and stopped nodes, an unreachable store in four ways, backend servers that crash or misbehave in eight ways, withdrawn keys, evacuated zones, reloads.

--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -1,24 +1,11 @@
-import { spawn, type ChildProcess } from 'node:child_process';
-import { once } from 'node:events';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
-import { PlatformBackend } from '../standin/platform-backend.js';
-import { settingsFileOf } from '../standin/platform-settings.js';
+import { HostProcess, listenOn } from '../standin/host-process.js';
 import { PlatformStore } from '../standin/platform-store.js';
 
-/** A host of the demo: a stand-in backend server and a real node. */
-interface DemoHost {
-  readonly ip: string;
-  readonly zone: string;
-  readonly backend: PlatformBackend;
-  readonly node: ChildProcess;
-}
-
 const SUBNET = '127.77.1';
 const STORE_IP = `${SUBNET}.250`;
 const ZONES = ['a', 'a', 'b', 'b'] as const;
@@ -27,8 +14,6 @@
 const READY_PORT = 7403;
 const KEY = 'key-of-workshop-paisley';
 const HOST = 'stock.example';
-const START_LIMIT_MS = 15_000;
-const POLL_MS = 50;
 /** A change has to be in force within this time. */
 const CONFIGURATION_LIMIT_MS = 2000;
 
@@ -60,48 +45,32 @@
 const agent = new Agent();
 const store = new PlatformStore();
 
-async function listen(server: Server, host: string): Promise<number> {
-  server.listen(0, host);
-  await once(server, 'listening');
-  return (server.address() as AddressInfo).port;
-}
-
-async function startHost(directory: string, storePort: number, at: number): Promise<DemoHost> {
-  const ip = `${SUBNET}.${at + 1}`;
-  const zone = ZONES[at] ?? 'a';
-  const backend = new PlatformBackend(`i-${at + 1}`);
-  const backendPort = await listen(backend.server, ip);
-  const file = join(directory, `${ip}.toml`);
-  await writeFile(
-    file,
-    settingsFileOf({
-      node: `node-${ip}`,
-      ip,
-      zone,
-      service: 'stock',
-      backend: `${ip}:${backendPort}`,
-      store: `${STORE_IP}:${storePort}`,
-      callerPort: CALLER_PORT,
-      peerPort: PEER_PORT,
-      readyPort: READY_PORT,
-    }),
-  );
-  const node = spawn('dist/almondhoist', ['node', '--platform'], {
-    env: { ALMONDHOIST_CONFIG: file },
-    stdio: 'ignore',
-  });
-  store.put(`servers/${backend.instance}`, {
-    address: `${ip}:${backendPort}`,
-    born: Date.now(),
-    info: { service: 'stock', version: 'v1', zone, slots: 20 },
-    status: { state: 'ready', sequence: 1, warmupLeft: '0ms' },
+async function startHost(directory: string, storePort: number, at: number): Promise<HostProcess> {
+  const host = await HostProcess.open({
+    program: ['dist/almondhoist'],
+    directory,
+    ip: `${SUBNET}.${at + 1}`,
+    zone: ZONES[at] ?? 'a',
+    service: 'stock',
+    instance: `i-${at + 1}`,
+    store: `${STORE_IP}:${storePort}`,
+    callerPort: CALLER_PORT,
+    peerPort: PEER_PORT,
+    readyPort: READY_PORT,
   });
-  return { ip, zone, backend, node };
+  store.put(`servers/${host.backend.instance}`, host.entry(Date.now()));
+  host.start();
+  return host;
 }
 
-async function statusOf(host: DemoHost, path: string, id: string, key = KEY): Promise<number> {
+async function statusOf(
+  { options }: HostProcess,
+  path: string,
+  id: string,
+  key = KEY,
+): Promise<number> {
   const isOrder = path.startsWith('/order/');
-  const answer = await request(`http://${host.ip}:${CALLER_PORT}${path}`, {
+  const answer = await request(`http://${options.ip}:${CALLER_PORT}${path}`, {
     dispatcher: agent,
     method: isOrder ? 'POST' : 'GET',
     ...(isOrder ? { body: 'one block' } : {}),
@@ -116,33 +85,12 @@
   return answer.statusCode;
 }
 
-async function isReady({ ip }: DemoHost): Promise<boolean> {
-  try {
-    const answer = await request(`http://${ip}:${READY_PORT}/readyz`, { dispatcher: agent });
-    await answer.body.dump();
-    return answer.statusCode === 200;
-  } catch {
-    // A node that does not listen yet is not ready.
-    return false;
-  }
-}
-
-async function untilReady(hosts: readonly DemoHost[]): Promise<void> {
-  const limit = performance.now() + START_LIMIT_MS;
-  for (;;) {
-    const ready = await Promise.all(hosts.map(isReady));
-    if (ready.every(Boolean)) return;
-    if (performance.now() > limit) throw new Error('a node did not become ready');
-    await sleep(POLL_MS);
-  }
-}
-
 function report(holds: boolean, text: string): boolean {
   console.log(`${holds ? 'ok    ' : 'BROKEN'} ${text}`);
   return holds;
 }
 
-async function play(hosts: readonly DemoHost[]): Promise<boolean> {
+async function play(hosts: readonly HostProcess[]): Promise<boolean> {
   const [first, , third] = hosts;
   if (first === undefined || third === undefined) throw new Error('the demo has four hosts');
   const runsOf = (id: string) =>
@@ -158,7 +106,7 @@
   const before = first.backend.runs.length;
   const elsewhere = await statusOf(first, '/look/43', 'demo-4');
   const isKeptOut = first.backend.runs.length === before;
-  third.node.kill('SIGKILL');
+  third.signal('SIGKILL');
   const afterKill = await statusOf(first, '/look/44', 'demo-5');
   return [
     report(look === 200, `a lookup with a good key: ${look}`),
@@ -179,21 +127,17 @@
  */
 export async function playOnPlatform(): Promise<boolean> {
   const directory = await mkdtemp(join(tmpdir(), 'almondhoist-'));
-  const storePort = await listen(store.server, STORE_IP);
+  const storePort = await listenOn(store.server, STORE_IP);
   store.put('op/config', POLICY);
   console.log('starting 4 nodes, 4 backend servers and a store on loopback addresses');
   const hosts = await Promise.all(ZONES.map((_, at) => startHost(directory, storePort, at)));
   try {
-    await untilReady(hosts);
+    await Promise.all(hosts.map((host) => host.untilReady(agent)));
     // The health of each backend server is read before its first request.
     await sleep(CONFIGURATION_LIMIT_MS);
     return await play(hosts);
   } finally {
-    hosts.forEach(({ node, backend }) => {
-      node.kill('SIGKILL');
-      backend.server.close();
-      backend.server.closeAllConnections();
-    });
+    hosts.forEach((host) => host.close());
     store.server.close();
     store.server.closeAllConnections();
     await agent.destroy();
--- /dev/null
+++ b/soak/processes/fault.ts
@@ -0,0 +1,127 @@
+import type { Misbehaviour } from '../../standin/platform-backend.js';
+import type { StoreMood } from '../../standin/platform-store.js';
+import type { Random } from '../../standin/process.js';
+
+/** A fault or a piece of planned work; hosts are numbers from 0 on. */
+export type Fault =
+  /** The node dies and starts again. */
+  | { readonly kind: 'kill'; readonly hosts: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'freeze'; readonly host: number; readonly forMs: number }
+  /** A planned stop and a new start. */
+  | { readonly kind: 'stop'; readonly host: number }
+  | { readonly kind: 'store'; readonly mood: StoreMood; readonly forMs: number }
+  /** A backend server treats a share of its requests badly. */
+  | {
+      readonly kind: 'misbehave';
+      readonly host: number;
+      readonly how: Misbehaviour;
+      readonly share: number;
+      readonly forMs: number;
+    }
+  /** The backend server dies and comes back cold, as another run at the same address. */
+  | { readonly kind: 'crash'; readonly host: number }
+  | { readonly kind: 'withdraw-key'; readonly forMs: number }
+  | { readonly kind: 'evacuate'; readonly zone: string; readonly forMs: number }
+  | { readonly kind: 'reload'; readonly host: number };
+
+/** A fault with its instant, in milliseconds from the start of the traffic. */
+export interface ScheduledFault {
+  readonly at: number;
+  readonly fault: Fault;
+}
+
+/** What faults may strike. */
+export interface FaultScope {
+  readonly hosts: number;
+  readonly zones: readonly string[];
+  readonly random: Random;
+}
+
+const MOODS: readonly StoreMood[] = [
+  { kind: 'refusing', status: 503 },
+  { kind: 'refusing', status: 429 },
+  { kind: 'silent' },
+  { kind: 'losing' },
+];
+
+const MISBEHAVIOURS: readonly Misbehaviour[] = [
+  'reset',
+  'silent',
+  'truncated',
+  'unframed-cut',
+  'foreign',
+  'unsigned',
+  'extra',
+  'shed',
+];
+
+const KINDS: readonly Fault['kind'][] = [
+  'kill',
+  'freeze',
+  'stop',
+  'store',
+  'misbehave',
+  'crash',
+  'withdraw-key',
+  'evacuate',
+  'reload',
+];
+
+const MIN_MS = 500;
+const MAX_MS = 3500;
+const MIN_GAP_MS = 300;
+const MAX_GAP_MS = 1800;
+
+/** Share of the hosts that die together at times. */
+const HERD_SHARE = 0.5;
+
+function pick<Item>(items: readonly Item[], random: Random): Item {
+  const item = items[Math.floor(random() * items.length)];
+  if (item === undefined) throw new Error('nothing to choose from');
+  return item;
+}
+
+function between(from: number, to: number, random: Random): number {
+  return Math.round(from + random() * (to - from));
+}
+
+function drawFault({ hosts, zones, random }: FaultScope): Fault {
+  const host = Math.floor(random() * hosts);
+  const forMs = between(MIN_MS, MAX_MS, random);
+  const kind = pick(KINDS, random);
+  switch (kind) {
+    case 'kill': {
+      const others = Array.from({ length: Math.floor(hosts * HERD_SHARE) }, (_, at) => at * 2);
+      return { kind, hosts: random() < HERD_SHARE ? [host] : others, forMs };
+    }
+    case 'freeze':
+      return { kind, host, forMs };
+    case 'stop':
+    case 'crash':
+    case 'reload':
+      return { kind, host };
+    case 'store':
+      return { kind, mood: pick(MOODS, random), forMs };
+    case 'misbehave':
+      return { kind, host, how: pick(MISBEHAVIOURS, random), share: random(), forMs };
+    case 'withdraw-key':
+      return { kind, forMs };
+    case 'evacuate':
+      return { kind, zone: pick(zones, random), forMs };
+  }
+}
+
+/**
+ * Draws the faults of a run. Several may be under way at the same time.
+ *
+ * @param scope - hosts, zones and randomness
+ * @param lengthMs - time in which faults begin
+ * @returns the faults in order
+ */
+export function drawFaults(scope: FaultScope, lengthMs: number): readonly ScheduledFault[] {
+  const faults: ScheduledFault[] = [];
+  for (let at = MIN_GAP_MS; at < lengthMs; at += between(MIN_GAP_MS, MAX_GAP_MS, scope.random)) {
+    faults.push({ at, fault: drawFault(scope) });
+  }
+  return faults;
+}
--- /dev/null
+++ b/soak/processes/process-fleet.ts
@@ -0,0 +1,313 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import { HostProcess, listenOn } from '../../standin/host-process.js';
+import type { PlatformRun } from '../../standin/platform-backend.js';
+import { PlatformStore } from '../../standin/platform-store.js';
+import type { Random } from '../../standin/process.js';
+import type { Fault } from './fault.js';
+import { ROUTE_TIMEOUT_MS, type Observation } from './observation.js';
+
+/** Zone and service of each host. */
+const HOSTS = [
+  { zone: 'a', service: 'shop' },
+  { zone: 'a', service: 'stock' },
+  { zone: 'b', service: 'shop' },
+  { zone: 'b', service: 'stock' },
+  { zone: 'a', service: 'stock' },
+  { zone: 'b', service: 'shop' },
+] as const;
+
+export const ZONES = ['a', 'b'] as const;
+export const HOST_COUNT = HOSTS.length;
+export const HOST_NAME = 'shop.example';
+
+/** The first key is withdrawn at times, the second never. */
+export const KEYS = ['key-that-comes-and-goes', 'key-that-stays'] as const;
+
+const CALLER_PORT = 7401;
+const PEER_PORT = 7402;
+const READY_PORT = 7403;
+const WORK_MS = 20;
+const WARM_UP_MS = 2000;
+const FIRST_READ_MS = 2000;
+const NESTED_TIMEOUT_MS = 700;
+
+function routeOf(name: string, kind: 'safe' | 'unsafe', service: string, isPublic = false) {
+  return {
+    name,
+    host: HOST_NAME,
+    prefix: `/${name}/`,
+    kind,
+    timeout: `${ROUTE_TIMEOUT_MS}ms`,
+    targetLatency: '1s',
+    priority: kind === 'safe' ? 2 : 0,
+    service,
+    attempts: 2,
+    public: isPublic,
+  };
+}
+
+function configurationOf(version: number, apiKeys: readonly string[]) {
+  return {
+    version,
+    routes: [
+      routeOf('look', 'safe', 'shop'),
+      routeOf('order', 'unsafe', 'shop'),
+      routeOf('peek', 'safe', 'stock', true),
+    ],
+    services: ['shop', 'stock'].map((name) => ({
+      name,
+      healthPath: '/healthz',
+      maxConnections: 100,
+      warmup: `${WARM_UP_MS}ms`,
+      warmupPerS: 25,
+    })),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeout: '3s',
+      idleTimeout: '15s',
+    },
+    tenants: [{ name: 'paisley', apiKeys, priority: 0, ratePerS: 200, burst: 200 }],
+  };
+}
+
+function ranOf({ id, path, headers, at }: PlatformRun): Observation {
+  const account = headers['tenant-id'];
+  return {
+    kind: 'ran',
+    id,
+    path,
+    account: typeof account === 'string' ? account : null,
+    showsKey: KEYS.some((key) => JSON.stringify(headers).includes(key)),
+    at,
+  };
+}
+
+/** Owner of the store, the backend servers and the node processes of a run. */
+export class ProcessFleet {
+  readonly agent = new Agent();
+
+  readonly #store = new PlatformStore();
+
+  readonly #observe: (seen: Observation) => void;
+
+  readonly #random: Random;
+
+  #hosts: readonly HostProcess[] = [];
+
+  /** Hosts whose node has a fault; a second one would wait for a process that has ended. */
+  readonly #busy = new Set<HostProcess>();
+
+  #directory = '';
+
+  #version = 1;
+
+  #crashes = 0;
+
+  /**
+   * @param observe - takes what is seen
+   * @param random - seeded source
+   */
+  constructor(observe: (seen: Observation) => void, random: Random) {
+    this.#observe = observe;
+    this.#random = random;
+  }
+
+  /**
+   * Starts all processes and waits until they are ready.
+   *
+   * @param subnet - first three parts of the loopback addresses
+   */
+  async start(subnet: string): Promise<void> {
+    this.#directory = await mkdtemp(join(tmpdir(), 'almondhoist-'));
+    const storePort = await listenOn(this.#store.server, `${subnet}.250`);
+    this.#configure(KEYS);
+    this.#hosts = await Promise.all(
+      HOSTS.map(({ zone, service }, at) =>
+        HostProcess.open({
+          program: [process.execPath, 'dist/js/src/main.js'],
+          directory: this.#directory,
+          ip: `${subnet}.${at + 1}`,
+          zone,
+          service,
+          instance: `i-${at + 1}`,
+          store: `${subnet}.250:${storePort}`,
+          callerPort: CALLER_PORT,
+          peerPort: PEER_PORT,
+          readyPort: READY_PORT,
+        }),
+      ),
+    );
+    this.#hosts.forEach((host) => {
+      this.#register(host, 0);
+      this.#prepare(host);
+      host.start();
+    });
+    await Promise.all(this.#hosts.map((host) => host.untilReady(this.agent)));
+    // The health of each backend server is read before its first request.
+    await sleep(FIRST_READ_MS);
+  }
+
+  /**
+   * @param at - number of a host
+   * @returns address for callers of its node
+   */
+  callerUrl(at: number): string {
+    return `http://${this.#hosts[at]?.options.ip}:${CALLER_PORT}`;
+  }
+
+  /**
+   * Performs a fault from its beginning to its end.
+   *
+   * @param fault - the fault
+   */
+  async perform(fault: Fault): Promise<void> {
+    const from = performance.now();
+    switch (fault.kind) {
+      case 'kill':
+        await this.#disturb(fault.hosts, async (hosts) => {
+          hosts.forEach((host) => host.signal('SIGKILL'));
+          await sleep(fault.forMs);
+          await Promise.all(hosts.map((host) => this.#restart(host)));
+        });
+        break;
+      case 'freeze':
+        await this.#disturb([fault.host], async ([host]) => {
+          host?.signal('SIGSTOP');
+          await sleep(fault.forMs);
+          host?.signal('SIGCONT');
+        });
+        break;
+      case 'stop':
+        await this.#disturb([fault.host], async ([host]) => {
+          host?.signal('SIGTERM');
+          if (host !== undefined) await this.#restart(host);
+        });
+        break;
+      case 'store':
+        this.#store.mood = fault.mood;
+        this.#store.cut();
+        await sleep(fault.forMs);
+        this.#store.mood = { kind: 'well' };
+        this.#observe({ kind: 'disturbed', host: null, from, until: performance.now() });
+        break;
+      case 'misbehave':
+        await this.#misbehave(fault);
+        break;
+      case 'crash':
+        this.#crash(fault.host);
+        break;
+      case 'withdraw-key':
+        this.#configure(KEYS.slice(1));
+        await sleep(fault.forMs);
+        this.#configure(KEYS);
+        break;
+      case 'evacuate':
+        this.#store.put(`op/evacuate/${fault.zone}`, {});
+        await sleep(fault.forMs);
+        this.#store.remove(`op/evacuate/${fault.zone}`);
+        break;
+      case 'reload':
+        this.#hosts[fault.host]?.signal('SIGHUP');
+        break;
+    }
+  }
+
+  /** Ends all processes. */
+  async close(): Promise<void> {
+    this.#hosts.forEach((host) => host.close());
+    this.#store.server.close();
+    this.#store.server.closeAllConnections();
+    await this.agent.destroy();
+    await rm(this.#directory, { recursive: true });
+  }
+
+  async #disturb(
+    places: readonly number[],
+    act: (hosts: readonly HostProcess[]) => Promise<void>,
+  ): Promise<void> {
+    const from = performance.now();
+    const hosts = places
+      .flatMap((at) => this.#hosts[at] ?? [])
+      .filter((host) => !this.#busy.has(host));
+    hosts.forEach((host) => this.#busy.add(host));
+    await act(hosts);
+    const until = performance.now();
+    hosts.forEach((host) => this.#busy.delete(host));
+    hosts.forEach(({ options }) =>
+      this.#observe({ kind: 'disturbed', host: options.ip, from, until }),
+    );
+  }
+
+  /** Starts a node again once it has ended; a second start at the same time would find its port. */
+  async #restart(host: HostProcess): Promise<void> {
+    await host.ended();
+    host.start();
+    await host.untilReady(this.agent);
+  }
+
+  async #misbehave({ host: at, how, share, forMs }: Extract<Fault, { kind: 'misbehave' }>) {
+    const backend = this.#hosts[at]?.backend;
+    if (backend === undefined) return;
+    backend.behave = () => (this.#random() < share ? how : 'none');
+    await sleep(forMs);
+    backend.behave = () => 'none';
+  }
+
+  #crash(at: number): void {
+    const host = this.#hosts[at];
+    if (host === undefined) return;
+    this.#crashes += 1;
+    this.#store.remove(`servers/${host.backend.instance}`);
+    host.backend.instance = `i-${at + 1}-${this.#crashes}`;
+    host.backend.server.closeAllConnections();
+    host.backend.warmUpMs = WARM_UP_MS;
+    setTimeout(() => {
+      host.backend.warmUpMs = 0;
+    }, WARM_UP_MS);
+    this.#register(host, WARM_UP_MS);
+  }
+
+  #register(host: HostProcess, warmUpLeftMs: number): void {
+    this.#store.put(`servers/${host.backend.instance}`, host.entry(Date.now(), warmUpLeftMs));
+  }
+
+  #configure(keys: readonly string[]): void {
+    this.#store.put('op/config', configurationOf(this.#version, keys));
+    this.#version += 1;
+    this.#observe({ kind: 'configured', keys: new Set(keys), at: performance.now() });
+  }
+
+  /** Each run of the first service needs a call to the second one, through its own node. */
+  #prepare({ backend: prepared, options }: HostProcess): void {
+    const backend = prepared;
+    backend.workMs = WORK_MS;
+    if (options.service !== 'shop') return;
+    backend.work = async (run) => {
+      this.#observe(ranOf(run));
+      return this.#peek(options.ip, run.id);
+    };
+  }
+
+  async #peek(ip: string, parent: string): Promise<boolean> {
+    try {
+      const answer = await request(`http://${ip}:${CALLER_PORT}/peek/1`, {
+        dispatcher: this.agent,
+        headers: {
+          host: HOST_NAME,
+          'attempt-id': `${parent}-peek-${Math.floor(this.#random() * 1e9)}`,
+          'timeout-ms': String(NESTED_TIMEOUT_MS),
+        },
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      // The node beside the backend server is down; the run ends with an error.
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/soak/processes/process-soak.ts
@@ -0,0 +1,140 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { request } from 'undici';
+import { randomFrom, type Random } from '../../standin/process.js';
+import { drawFaults, type ScheduledFault } from './fault.js';
+import { judge, RECOVER_MS, type Breach, type Observation } from './observation.js';
+import { HOST_COUNT, HOST_NAME, KEYS, ProcessFleet, ZONES } from './process-fleet.js';
+
+/** What a run is made of. */
+export interface ProcessSoakOptions {
+  readonly seed: number;
+  /** Time in which faults begin, in milliseconds. */
+  readonly faultsMs: number;
+  /** First three parts of loopback addresses that nobody else uses. */
+  readonly subnet: string;
+}
+
+/** What a run came to. */
+export interface ProcessSoakResult {
+  readonly breaches: readonly Breach[];
+  readonly faults: readonly ScheduledFault[];
+  /** Number of requests by the status of their answer; 0 without an answer. */
+  readonly answers: ReadonlyMap<number, number>;
+}
+
+const REQUESTS_PER_S = 60;
+const ORDER_SHARE = 0.4;
+const CALLER_TIMEOUT_MS = 3000;
+
+/** Time after the recovery in which most lookups have to be served. */
+const CALM_MS = 3000;
+const BODY = '{"whole":true}';
+
+/** Sends requests and notes what becomes of them. */
+class Callers {
+  readonly #fleet: ProcessFleet;
+
+  readonly #observe: (seen: Observation) => void;
+
+  readonly #random: Random;
+
+  #asked = 0;
+
+  constructor(fleet: ProcessFleet, observe: (seen: Observation) => void, random: Random) {
+    this.#fleet = fleet;
+    this.#observe = observe;
+    this.#random = random;
+  }
+
+  async ask(): Promise<void> {
+    this.#asked += 1;
+    const id = `soak-${this.#asked}`;
+    const isOrder = this.#random() < ORDER_SHARE;
+    const path = `/${isOrder ? 'order' : 'look'}/${this.#asked}`;
+    const url = this.#fleet.callerUrl(Math.floor(this.#random() * HOST_COUNT));
+    const key = KEYS[this.#random() < 0.5 ? 0 : 1];
+    const host = new URL(url).hostname;
+    const at = performance.now();
+    this.#observe({ kind: 'asked', id, path, isRepeatable: !isOrder, host, key, at });
+    try {
+      const answer = await request(`${url}${path}`, {
+        dispatcher: this.#fleet.agent,
+        method: isOrder ? 'POST' : 'GET',
+        ...(isOrder ? { body: 'one block' } : {}),
+        headersTimeout: CALLER_TIMEOUT_MS,
+        headers: {
+          host: HOST_NAME,
+          'attempt-id': id,
+          'timeout-ms': String(CALLER_TIMEOUT_MS),
+          authorization: `Bearer ${key}`,
+        },
+      });
+      const body = await answer.body.text();
+      const signature = answer.headers['response-signature'];
+      this.#observe({
+        kind: 'answered',
+        id,
+        status: answer.statusCode,
+        isOwn: signature === `signed-${id}` && body === BODY,
+        isForeign: signature !== undefined && signature !== `signed-${id}`,
+        at: performance.now(),
+      });
+    } catch {
+      // Nodes that are killed end their connections; the judge looks at what the request did.
+      this.#observe({ kind: 'broken', id, at: performance.now() });
+    }
+  }
+}
+
+function countAnswers(seen: readonly Observation[]): ReadonlyMap<number, number> {
+  const counts = new Map<number, number>();
+  seen.forEach((one) => {
+    if (one.kind !== 'answered' && one.kind !== 'broken') return;
+    const status = one.kind === 'answered' ? one.status : 0;
+    counts.set(status, (counts.get(status) ?? 0) + 1);
+  });
+  return counts;
+}
+
+async function performAll(fleet: ProcessFleet, faults: readonly ScheduledFault[]): Promise<void> {
+  const start = performance.now();
+  const running: Promise<void>[] = [];
+  for (const { at, fault } of faults) {
+    await sleep(Math.max(0, start + at - performance.now()));
+    running.push(fleet.perform(fault));
+  }
+  await Promise.all(running);
+}
+
+/**
+ * Runs real node processes under traffic and faults, then judges what was seen. The seed decides
+ * requests and faults; their meeting in time depends on the machine.
+ *
+ * @param options - seed, length and addresses
+ * @returns what does not hold, the faults and the answers
+ */
+export async function soakProcesses(options: ProcessSoakOptions): Promise<ProcessSoakResult> {
+  const random = randomFrom(options.seed);
+  const seen: Observation[] = [];
+  const observe = (one: Observation): void => {
+    seen.push(one);
+  };
+  const fleet = new ProcessFleet(observe, randomFrom(options.seed + 1));
+  const callers = new Callers(fleet, observe, randomFrom(options.seed + 2));
+  const faults = drawFaults({ hosts: HOST_COUNT, zones: ZONES, random }, options.faultsMs);
+  const asks: Promise<void>[] = [];
+  let traffic: NodeJS.Timeout | null = null;
+  try {
+    await fleet.start(options.subnet);
+    traffic = setInterval(() => asks.push(callers.ask()), 1000 / REQUESTS_PER_S);
+    await performAll(fleet, faults);
+    observe({ kind: 'calm', at: performance.now() });
+    await sleep(RECOVER_MS + CALM_MS);
+    clearInterval(traffic);
+    await Promise.all(asks);
+  } finally {
+    if (traffic !== null) clearInterval(traffic);
+    await fleet.close();
+  }
+  return { breaches: judge(seen), faults, answers: countAnswers(seen) };
+}
