Let calls of running requests wait a fifth of their objective

Cause: under overload of the deepest service all its calls waited up to three fifths of their objective, 180 ms each. Lookups with four calls still ended in time and none was refused, so no pressure told their entries to let in fewer; orders with eight calls, which rank higher, spent their whole objective in the queues and none was of use.

Ruled out by the same test (page decisions/platform-path): learning which routes take longer under pressure, a stronger decrease, lower thresholds. One test of the cold rate gives its calls an objective of 3 s, so that they may wait for 0.6 s as before.

The part of the gate that spreads a cold rate moves from dispatch.ts to cold-rate.ts.

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -2,6 +2,7 @@
 import type { Instant, Milliseconds } from '../model/time.js';
 import { addPressure, noPressure, pressureNow } from '../shedding/pressure-view.js';
 import { step, type Decision, type Step } from '../task/decision.js';
+import { coldWait, hasColdRoom, isColdRootDue, recentStarts } from './cold-rate.js';
 import type {
   DispatchEffect,
   DispatchMessage,
@@ -20,25 +21,16 @@
 /** Share of the slots that calls of running requests leave to new ones. */
 const ROOT_RESERVED_SHARE = 0.1;
 
-/**
- * The same share of a cold rate. Most requests that make calls end without an answer while all
- * services are cold, so requests that need nothing else keep a larger part.
- */
-const COLD_ROOT_RESERVED_SHARE = 0.35;
-
 /** Share of its latency objective that a new request may wait; a later refusal wastes its time. */
 const ROOT_WAIT_SHARE = 0.25;
 
-/** Calls of running requests may wait longer, since refusing one wastes the work of its parent. */
-const NESTED_WAIT_SHARE = 0.6;
-
-const COLD_WINDOW_MS: Milliseconds = 1000;
-
 /**
- * Part of the window in which a cold backend server gets the same part of its rate. When it gets a
- * second's worth at once, calls that follow each other in one request wait for the next second.
+ * The same for calls of running requests. One request makes many of them, so that its own
+ * objective is spent when each waits long, and none of its calls is refused to show it: with a
+ * share of 0.6, orders with eight calls ended late at twice the load while lookups with four were
+ * all let in. Shares from 0.1 to 0.25 make no difference (`docs/decisions/platform-path.md`).
  */
-const COLD_SPREAD_SHARE = 0.2;
+const NESTED_WAIT_SHARE = 0.2;
 
 /** Running time that is assumed before the first sample. */
 const INITIAL_SERVICE_TIME_MS: Milliseconds = 50;
@@ -113,23 +105,6 @@
   };
 }
 
-/** Starts within the window before now. */
-function recentStarts(state: DispatchState, now: Instant): readonly Running[] {
-  return state.starts.filter(({ startedAt }) => now - startedAt < COLD_WINDOW_MS);
-}
-
-/** Whether a cold backend server may get one more call. */
-function hasColdRoom(state: DispatchState, now: Instant): boolean {
-  const recent = recentStarts(state, now);
-  const together = recent.filter(
-    ({ startedAt }) => now - startedAt < COLD_WINDOW_MS * COLD_SPREAD_SHARE,
-  );
-  return (
-    recent.length < Math.max(1, Math.floor(state.coldRatePerSecond)) &&
-    together.length < Math.max(1, Math.floor(state.coldRatePerSecond * COLD_SPREAD_SHARE))
-  );
-}
-
 function hasRoom(state: DispatchState, now: Instant): boolean {
   switch (state.condition.kind) {
     case 'unknown':
@@ -144,10 +119,7 @@
 
 /** Whether new requests have less than the part that is kept for them. */
 function isRootDue(state: DispatchState, now: Instant): boolean {
-  if (state.condition.kind === 'cold') {
-    const roots = recentStarts(state, now).filter(({ isNested }) => !isNested);
-    return roots.length < state.coldRatePerSecond * COLD_ROOT_RESERVED_SHARE;
-  }
+  if (state.condition.kind === 'cold') return isColdRootDue(state, now);
   const runningRoots = state.running.size - state.runningNested;
   return runningRoots < Math.floor(dispatchLimit(state) * ROOT_RESERVED_SHARE);
 }
@@ -208,19 +180,6 @@
   return step(next, ...effects);
 }
 
-/** Time until a cold backend server gets a call behind so many others, at a part of its rate. */
-function coldWait(
-  starts: readonly Running[],
-  ahead: number,
-  ratePerSecond: number,
-  now: Instant,
-): Milliseconds {
-  const spreadMs = COLD_WINDOW_MS * COLD_SPREAD_SHARE;
-  const together = starts.filter(({ startedAt }) => now - startedAt < spreadMs).length;
-  const excess = Math.max(0, together + ahead + 1 - ratePerSecond * COLD_SPREAD_SHARE);
-  return (excess / Math.max(1, ratePerSecond)) * COLD_WINDOW_MS;
-}
-
 /** Time until a call at this place of the queue would start. */
 function expectedWait(
   state: DispatchState,
@@ -232,17 +191,7 @@
   const forSlot =
     (Math.max(0, state.running.size + ahead.length + 1 - limit) / limit) * state.serviceTimeMs;
   if (state.condition.kind !== 'cold') return forSlot;
-  const starts = recentStarts(state, now);
-  const rate = state.coldRatePerSecond;
-  const forAll = coldWait(starts, ahead.length, rate, now);
-  if (isNested) return Math.max(forSlot, forAll);
-  const reserved = coldWait(
-    starts.filter((start) => !start.isNested),
-    ahead.filter(({ rank }) => !rank.isNested).length,
-    rate * COLD_ROOT_RESERVED_SHARE,
-    now,
-  );
-  return Math.max(forSlot, Math.min(forAll, reserved));
+  return Math.max(forSlot, coldWait(state, ahead, isNested, now));
 }
 
 function withPressure(state: DispatchState, sample: number, now: Instant): DispatchState {
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -39,8 +39,8 @@
     effects.forEach((effect) => this.#record(effect, now));
   }
 
-  arrive(ticket: number, rank: Rank, now: number): void {
-    const times = { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: DEADLINE_MS };
+  arrive(ticket: number, rank: Rank, now: number, objectiveLeftMs = OBJECTIVE_MS): void {
+    const times = { objectiveLeftMs, timeLeftMs: DEADLINE_MS };
     this.send({ kind: 'arrived', ticket, rank, ...times }, now);
   }
 
@@ -143,7 +143,8 @@
   // all starts of this one.
   const gate = new Gate(100, 25);
   gate.send({ kind: 'condition', condition: { kind: 'cold', until: 5000 } }, 0);
-  for (let ticket = 1; ticket <= 20; ticket += 1) gate.arrive(ticket, NESTED, 0);
+  // An objective of 3 s lets calls of running requests wait for 0.6 s.
+  for (let ticket = 1; ticket <= 20; ticket += 1) gate.arrive(ticket, NESTED, 0, 3000);
   assert.equal(gate.started.length, 5);
   gate.send({ kind: 'tick' }, 205);
   assert.equal(gate.started.length, 10);
--- a/test/core/shedding/call-graph.test.ts
+++ b/test/core/shedding/call-graph.test.ts
@@ -81,11 +81,11 @@
   assert.ok(worthOf(result, 4, 8) >= 0.95, `warm: ${worthOf(result, 4, 8)}`);
 });
 
-/** Part of the capacity of the deepest service that whole requests use at three times the load. */
-function usedCapacity(): number {
+/** Part of the capacity of the deepest service that whole requests use under a load. */
+function usedCapacity(times: number): number {
   const arrivals = FLEET.arrivals.map(({ kind, perSecond }) => ({
     kind,
-    perSecond: perSecond * 3,
+    perSecond: perSecond * times,
   }));
   const result = new CallGraph({ ...FLEET, arrivals, coldUntilMs: 0 }).play();
   const perSecond = Object.entries(SLOT_CALLS).map(([kind, calls]) => {
@@ -97,19 +97,12 @@
 
 /** The target of the users for goodput under three times the load. */
 const CAPACITY_BOUND = 0.85;
-const OVERLOAD_RED = 'KNOWN-RED.txt: requests lose some of their calls at three times the load';
 
-test(
-  'a warm fleet at three times its load serves what its deepest service can bear',
-  { todo: OVERLOAD_RED },
-  () => {
-    // Guards against an admission that works for requests whose last calls are refused.
-    const used = usedCapacity();
+for (const times of [2, 3]) {
+  test(`a warm fleet at ${times} times its load serves what its deepest service can bear`, () => {
+    // Guards against an admission that works for requests whose last calls are refused, and
+    // against queues in which requests with many calls spend their whole objective.
+    const used = usedCapacity(times);
     assert.ok(used >= CAPACITY_BOUND, `${used} of the capacity`);
-  },
-);
-
-test('three times the load is still red, as KNOWN-RED.txt lists it', () => {
-  // Guards against an entry of KNOWN-RED.txt that outlives its fault.
-  assert.ok(usedCapacity() < CAPACITY_BOUND, 'green again: remove its entry and the todo');
-});
+  });
+}
