Tell the control path, quotas and load by typed messages

Tasks of the platform path took commands as methods, so that what a task may be told was spread over its callers. Publications, feed, quotas and load now take one union of messages each, with exhaustive switches; views stay getters.

--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -13,6 +13,15 @@
   readonly isStoreLost: boolean;
 }
 
+/** Changes of published values, as one node passes them on to another. */
+export interface PublishedChanges {
+  readonly changes: readonly Publication[];
+  /** Revision up to which the changes are complete. */
+  readonly revision: number;
+  /** Whether the sender has read the store without a break for some seconds. */
+  readonly isSettled: boolean;
+}
+
 /** What nodes send each other. */
 export type MeshFrame =
   /** First frame on a link, from the node that opened it. */
@@ -21,22 +30,12 @@
   | { readonly kind: 'cancel'; readonly number: CallNumber }
   | { readonly kind: 'reply'; readonly number: CallNumber; readonly reply: MeshReply }
   | ({ readonly kind: 'status' } & PublicationStatus)
-  | {
-      readonly kind: 'changes';
-      readonly changes: readonly Publication[];
-      readonly revision: number;
-      /** Whether the sender has read the store without a break for some seconds. */
-      readonly isSettled: boolean;
-    }
+  /** What a node that is behind lacks. */
+  | ({ readonly kind: 'changes' } & PublishedChanges)
   /** The sender takes what the receiver reads in the store, and knows this revision. */
   | { readonly kind: 'follow'; readonly revision: number }
   /** What a reader has found in the store a moment ago, for its followers; often nothing new. */
-  | {
-      readonly kind: 'feed';
-      readonly changes: readonly Publication[];
-      readonly revision: number;
-      readonly isSettled: boolean;
-    }
+  | ({ readonly kind: 'feed' } & PublishedChanges)
   /** The sender cannot read the store, so its followers get nothing. */
   | { readonly kind: 'feed-lost' }
   | { readonly kind: 'usage'; readonly usages: readonly Usage[] }
--- a/src/sidecar/control-path.ts
+++ b/src/sidecar/control-path.ts
@@ -57,7 +57,7 @@
       readFact,
       report,
       changed: (policy, directory) => this.#apply(policy, directory),
-      answered: () => this.feed.storeAnswered(),
+      answered: () => this.feed.send({ kind: 'store-answered' }),
       statusChanged: () => this.#storeStatusChanged(),
     });
     this.feed = new FeedTask({ clock, peers, tell, report, publications: this.publications });
@@ -80,7 +80,7 @@
 
   /** Starts to read. */
   start(): void {
-    this.publications.start();
+    this.publications.send({ kind: 'start' });
   }
 
   /** Reads no more. */
@@ -101,7 +101,7 @@
 
   #storeStatusChanged(): void {
     this.tellStatus();
-    if (this.publications.status.isStoreLost) this.feed.storeLost();
+    if (this.publications.status.isStoreLost) this.feed.send({ kind: 'store-lost' });
   }
 
   #apply(policy: Policy | null, directory: Directory): void {
--- a/src/sidecar/feed-task.ts
+++ b/src/sidecar/feed-task.ts
@@ -29,6 +29,22 @@
 /** A frame between a reader of the store and its followers. */
 export type FeedFrame = Extract<MeshFrame, { readonly kind: 'follow' | 'feed' | 'feed-lost' }>;
 
+/** What the feed task is told. */
+export type FeedMessage =
+  /** A frame came; `from` is the address of its sender, or null when it is not known. */
+  | {
+      readonly kind: 'frame';
+      readonly frame: FeedFrame;
+      readonly link: MeshLink;
+      readonly from: string | null;
+    }
+  /** The store has answered: the followers get what is new, or learn that nothing is. */
+  | { readonly kind: 'store-answered' }
+  /** The store cannot be read here: the followers have to look elsewhere. */
+  | { readonly kind: 'store-lost' }
+  /** The link to a peer broke. */
+  | { readonly kind: 'peer-lost'; readonly address: string };
+
 /** How often the choice of the source is looked at; a silent feed is noticed within this time. */
 const TICK_MS: Milliseconds = 200;
 
@@ -84,33 +100,52 @@
   }
 
   /**
-   * Handles a frame of a reader or of a follower.
+   * Handles a message.
    *
-   * @param frame - the frame
-   * @param link - link on which it came
-   * @param from - address of the sender, or null when it is not known
+   * @param message - the message
    */
-  receive(frame: FeedFrame, link: MeshLink, from: string | null): void {
+  send(message: FeedMessage): void {
+    switch (message.kind) {
+      case 'frame':
+        this.#receive(message.frame, message.link, message.from);
+        break;
+      case 'store-answered':
+        // The next call depends on whether peers wait for what it finds.
+        this.#chooseReader();
+        this.#feedFollowers();
+        break;
+      case 'store-lost':
+        this.#tellFollowers({ kind: 'feed-lost' });
+        break;
+      case 'peer-lost':
+        this.#leaveReader(message.address);
+        break;
+    }
+  }
+
+  /** Ends the choice of sources. */
+  close(): void {
+    clearInterval(this.#ticker);
+  }
+
+  #receive(frame: FeedFrame, link: MeshLink, from: string | null): void {
     switch (frame.kind) {
       case 'follow':
         this.#follow(link, frame.revision);
         break;
-      case 'feed': {
-        const { changes, revision, isSettled } = frame;
-        this.#options.publications.receiveFeed(changes, revision, isSettled);
+      case 'feed':
+        this.#options.publications.send({ ...frame, kind: 'fed' });
         this.#source.send({ kind: 'fed' });
         break;
-      }
       case 'feed-lost':
-        if (from !== null) this.#loseReader(from);
+        if (from === null) break;
+        this.#lostReaders.set(from, this.#options.clock.now());
+        this.#leaveReader(from);
         break;
     }
   }
 
-  /** The store has answered: the followers get what is new, or learn that nothing is. */
-  storeAnswered(): void {
-    // The next call depends on whether peers wait for what it finds.
-    this.#chooseReader();
+  #feedFollowers(): void {
     const { publications } = this.#options;
     const { revision } = publications.status;
     const known = this.#fedRevision;
@@ -120,28 +155,6 @@
     this.#tellFollowers({ kind: 'feed', changes, revision, isSettled: publications.isSettled });
   }
 
-  /** The store cannot be read here: the followers have to look elsewhere. */
-  storeLost(): void {
-    this.#tellFollowers({ kind: 'feed-lost' });
-  }
-
-  /**
-   * The link to a peer broke.
-   *
-   * @param address - the peer's address
-   */
-  peerLost(address: string): void {
-    const { reader } = this.#source.state;
-    if (reader.kind === 'this-node' || reader.address !== address) return;
-    this.#source.send({ kind: 'feed-lost' });
-    this.#chooseReader();
-  }
-
-  /** Ends the choice of sources. */
-  close(): void {
-    clearInterval(this.#ticker);
-  }
-
   #follow(link: MeshLink, revision: number): void {
     const { clock } = this.#options;
     const { publications } = this.#options;
@@ -163,9 +176,11 @@
     });
   }
 
-  #loseReader(address: string): void {
-    this.#lostReaders.set(address, this.#options.clock.now());
-    this.peerLost(address);
+  #leaveReader(address: string): void {
+    const { reader } = this.#source.state;
+    if (reader.kind === 'this-node' || reader.address !== address) return;
+    this.#source.send({ kind: 'feed-lost' });
+    this.#chooseReader();
   }
 
   #tick(): void {
@@ -211,6 +226,6 @@
     const { report, publications } = this.#options;
     const { revision } = publications.status;
     report('sourceChanged', { source: describe(source), revision });
-    publications.setSource(source);
+    publications.send({ kind: 'source-changed', source });
   }
 }
--- a/src/sidecar/frame-router.ts
+++ b/src/sidecar/frame-router.ts
@@ -66,12 +66,12 @@
         this.#answerStatus(link, frame.revision);
         break;
       case 'changes':
-        publications.receive(frame.changes, frame.revision, frame.isSettled);
+        publications.send({ ...frame, kind: 'peer-changes' });
         break;
       case 'follow':
       case 'feed':
       case 'feed-lost':
-        feed.receive(frame, link, this.#addressOf(link));
+        feed.send({ kind: 'frame', frame, link, from: this.#addressOf(link) });
         break;
       case 'usage': {
         const node = this.#callers.get(link) ?? 'unknown';
@@ -79,7 +79,7 @@
         break;
       }
       case 'totals':
-        quota.told(frame.totals);
+        quota.send(frame);
         break;
       case 'marks':
         crashes.send({ kind: 'marks-received', marks: frame.marks });
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -38,6 +38,16 @@
   return Math.round(value * 100) / 100;
 }
 
+/** What the load task is told. */
+export interface LoadMessage {
+  /** A gate has replied to a call. */
+  readonly kind: 'call-ended';
+  readonly subject: LoadSubject;
+  /** Load that the gate told with the reply. */
+  readonly load: GateLoad;
+  readonly outcome: MeshOutcome;
+}
+
 /** Owner of what replies tell of the load of routes, and of the share of requests let in. */
 export class LoadTask {
   readonly #options: LoadTaskOptions;
@@ -64,11 +74,9 @@
   /**
    * Learns from a reply of a gate.
    *
-   * @param subject - the request
-   * @param load - load that came with the reply
-   * @param outcome - what became of the call
+   * @param message - the message
    */
-  told({ route, rank }: LoadSubject, load: GateLoad, outcome: MeshOutcome): void {
+  send({ subject: { route, rank }, load, outcome }: LoadMessage): void {
     const now = this.#options.clock.now();
     if (rank.isNested) {
       const own = isOverload(outcome, load) ? 1 : load.pressure;
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -14,7 +14,7 @@
 import type { Publication } from '../core/publications/publication.js';
 import type { Source } from '../core/publications/source.js';
 import type { StoreReader, StoreReply } from '../core/publications/store-reply.js';
-import type { PublicationStatus } from '../core/exchange/mesh-frame.js';
+import type { PublicationStatus, PublishedChanges } from '../core/exchange/mesh-frame.js';
 
 /** What the reader of published values needs of its node. */
 export interface PublicationTaskOptions {
@@ -54,6 +54,16 @@
  */
 const LAPSE_HOLD_MS: Milliseconds = 2200;
 
+/** What the reader of published values is told. */
+export type PublicationMessage =
+  | { readonly kind: 'start' }
+  /** Where the published values come from, from now on. */
+  | { readonly kind: 'source-changed'; readonly source: Source }
+  /** Changes that a peer has read, when this node is behind. */
+  | ({ readonly kind: 'peer-changes' } & PublishedChanges)
+  /** What the reader of this node has found in the store a moment ago. */
+  | ({ readonly kind: 'fed' } & PublishedChanges);
+
 /** Reader of the store and owner of the copy of everything that is published. */
 export class PublicationTask {
   readonly #options: PublicationTaskOptions;
@@ -97,19 +107,28 @@
     return this.#lostAt === null && this.#options.clock.now() - this.#regainedAt > LAPSE_HOLD_MS;
   }
 
-  /** Starts to read. */
-  start(): void {
-    void this.#read();
-  }
-
   /**
-   * Reads the store from now on, or leaves that to a reader.
+   * Handles a message.
    *
-   * @param source - where the published values come from
+   * @param message - the message
    */
-  setSource(source: Source): void {
-    this.#source = source;
-    void this.#read();
+  send(message: PublicationMessage): void {
+    switch (message.kind) {
+      case 'start':
+        void this.#read();
+        break;
+      case 'source-changed':
+        this.#source = message.source;
+        void this.#read();
+        break;
+      case 'peer-changes':
+        this.#receive(message, message.isSettled || this.isSettled);
+        break;
+      case 'fed':
+        this.#regain();
+        this.#receive(message, message.isSettled);
+        break;
+    }
   }
 
   /** Reads no more. */
@@ -128,27 +147,7 @@
     return changesAfter(this.#mirror, revision);
   }
 
-  /**
-   * Applies changes that a peer has read.
-   *
-   * @param changes - the changes
-   * @param revision - revision up to which they are complete
-   * @param isSettled - whether removals count at once
-   */
-  receive(changes: readonly Publication[], revision: number, isSettled: boolean): void {
-    const next = applyChanges(this.#mirror, changes, revision, this.#options.clock.now());
-    this.#apply(next, isSettled || this.isSettled);
-  }
-
-  /**
-   * Applies what a reader has read in the store for this node.
-   *
-   * @param changes - the changes
-   * @param revision - revision up to which they are complete
-   * @param isSettled - whether removals count at once
-   */
-  receiveFeed(changes: readonly Publication[], revision: number, isSettled: boolean): void {
-    this.#regain();
+  #receive({ changes, revision }: PublishedChanges, isSettled: boolean): void {
     const now = this.#options.clock.now();
     this.#apply(applyChanges(this.#mirror, changes, revision, now), isSettled);
   }
--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -40,6 +40,13 @@
 /** An aggregator that answered within this time still works. */
 const HEARD_LIFETIME_MS: Milliseconds = 5000;
 
+/** What the quota task is told. */
+export type QuotaMessage =
+  /** Accounts of the policy in force. */
+  | { readonly kind: 'accounts'; readonly accounts: readonly QuotaAccount[] }
+  /** Totals over all nodes, from the aggregator. */
+  | { readonly kind: 'totals'; readonly totals: readonly Total[] };
+
 /** Owner of the quotas of this node, and of the totals while it is the aggregator. */
 export class QuotaTask {
   readonly #options: QuotaTaskOptions;
@@ -63,12 +70,19 @@
   }
 
   /**
-   * Applies the accounts of a policy.
+   * Handles a message.
    *
-   * @param accounts - all accounts
+   * @param message - the message
    */
-  setAccounts(accounts: readonly QuotaAccount[]): void {
-    this.#accounts = new Map(accounts.map((account) => [account.name, account]));
+  send(message: QuotaMessage): void {
+    switch (message.kind) {
+      case 'accounts':
+        this.#accounts = new Map(message.accounts.map((account) => [account.name, account]));
+        break;
+      case 'totals':
+        this.#applyTotals(message.totals);
+        break;
+    }
   }
 
   /**
@@ -107,22 +121,17 @@
     return totals;
   }
 
-  /**
-   * Applies totals that the aggregator sent.
-   *
-   * @param totals - the totals
-   */
-  told(totals: readonly Total[]): void {
-    const now = this.#options.clock.now();
-    this.#heardAt = now;
-    this.#quotas = applyTotals(this.#quotas, totals, this.#accounts, this.#view(now), now);
-  }
-
   /** Stops the timer. */
   close(): void {
     clearInterval(this.#ticker);
   }
 
+  #applyTotals(totals: readonly Total[]): void {
+    const now = this.#options.clock.now();
+    this.#heardAt = now;
+    this.#quotas = applyTotals(this.#quotas, totals, this.#accounts, this.#view(now), now);
+  }
+
   #view(now: Instant): QuotaView {
     const isAggregatorHeard = now - this.#heardAt < HEARD_LIFETIME_MS;
     return { nodes: this.#options.nodes(), isAggregatorHeard };
@@ -136,7 +145,7 @@
     this.#quotas = state;
     if (usages.length === 0) return;
     const address = aggregator();
-    if (address === null) this.told(this.reported(node, usages));
+    if (address === null) this.#applyTotals(this.reported(node, usages));
     else sendUsage(address, usages);
   }
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -328,7 +328,8 @@
         return isGranted;
       },
       requestSeen: (service) => this.#retries.requestSeen(service),
-      loadTold: (request, load, outcome) => this.#load.told(request, load, outcome),
+      loadTold: (subject, load, outcome) =>
+        this.#load.send({ kind: 'call-ended', subject, load, outcome }),
       answered: (code, tookMs) => {
         this.#metrics.answers.inc({ code });
         this.#metrics.duration.observe(tookMs / 1000);
@@ -373,7 +374,7 @@
     switch (event.kind) {
       case 'policy-applied':
         this.#callers.setLimits(event.policy.limits);
-        this.#quota.setAccounts(event.policy.accounts ?? []);
+        this.#quota.send({ kind: 'accounts', accounts: event.policy.accounts ?? [] });
         this.#metrics.policyVersion.set(event.policy.version);
         break;
       case 'directory-changed':
@@ -412,7 +413,7 @@
         this.#peers.arrived(event.address);
         break;
       case 'link-lost':
-        this.#control.feed.peerLost(event.address);
+        this.#control.feed.send({ kind: 'peer-lost', address: event.address });
         this.#event('peerLost', { address: event.address, reason: event.reason });
         break;
       case 'frame-invalid':
