--- a/src/core/credit/bucket.ts
+++ b/src/core/credit/bucket.ts
@@ -1,6 +1,6 @@
 import { Map, OrderedMap } from 'immutable';
 import type { BackendServerName } from '../model/names.js';
-import type { Draw, LentShare } from '../model/peer-message.js';
+import type { Draw, LeasedShare } from '../model/peer-message.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import type { SeatShare } from './seat-split.js';
 
@@ -26,15 +26,15 @@
 }
 
 /** The part of the own share that another holder uses. */
-interface Lent {
-  readonly borrower: string;
+interface LeasedOut {
+  readonly lessee: string;
   readonly burst: number;
   /** Until then the own bucket gains nothing. */
   readonly until: Instant;
 }
 
 /** The share of another seat that this holder uses. */
-interface Borrowed {
+interface LeasedIn {
   readonly ratePerSecond: number;
   readonly burst: number;
   readonly until: Instant;
@@ -42,11 +42,11 @@
 
 /** Token bucket of one account at one seat. */
 export interface Bucket {
-  /** The own share; `limitOf` tells what is in force with loans. */
+  /** The own share; `limitOf` tells what is in force with leases. */
   readonly ratePerSecond: number;
   readonly burst: number;
-  readonly lent: Lent | null;
-  readonly loans: Map<BackendServerName, Borrowed>;
+  readonly leased: LeasedOut | null;
+  readonly leases: Map<BackendServerName, LeasedIn>;
   /** A larger share that replaces the present one at an instant. */
   readonly raise: { readonly at: Instant; readonly share: SeatShare } | null;
   /** Instant from which the bucket fills. */
@@ -71,8 +71,8 @@
   return {
     ratePerSecond: share.ratePerSecond,
     burst: share.burst,
-    lent: null,
-    loans: Map(),
+    leased: null,
+    leases: Map(),
     raise: null,
     opensAt,
     free: 0,
@@ -84,23 +84,23 @@
 }
 
 /**
- * Finds rate and burst in force. A lent share gains nothing here, and its burst is the
- * borrower's; what was outstanding when it was lent stays here.
+ * Finds rate and burst in force. A leased share gains nothing here, and its burst is the
+ * lessee's; what was outstanding when it was leased stays here.
  *
  * @param bucket - the bucket
- * @returns rate and burst with loans in both directions
+ * @returns rate and burst with leases in both directions
  */
 export function limitOf(bucket: Bucket): Pick<Bucket, 'ratePerSecond' | 'burst'> {
-  const { lent, loans } = bucket;
-  return loans.reduce(
-    (sum, loan) => ({
-      ratePerSecond: sum.ratePerSecond + loan.ratePerSecond,
-      burst: sum.burst + loan.burst,
+  const { leased, leases } = bucket;
+  return leases.reduce(
+    (sum, lease) => ({
+      ratePerSecond: sum.ratePerSecond + lease.ratePerSecond,
+      burst: sum.burst + lease.burst,
     }),
     {
-      ratePerSecond: lent === null ? bucket.ratePerSecond : 0,
-      // A share that was lowered while it is lent must not count below nothing.
-      burst: Math.max(0, bucket.burst - (lent?.burst ?? 0)),
+      ratePerSecond: leased === null ? bucket.ratePerSecond : 0,
+      // A share that was lowered while it is leased must not count below nothing.
+      burst: Math.max(0, bucket.burst - (leased?.burst ?? 0)),
     },
   );
 }
@@ -131,13 +131,13 @@
   return next;
 }
 
-/** Applies raises and ends of loans at their own instants, in order. */
+/** Applies raises and ends of leases at their own instants, in order. */
 function applyChanges(bucket: Bucket, now: Instant): Bucket {
-  const { raise, lent, loans } = bucket;
+  const { raise, leased, leases } = bucket;
   const at = Math.min(
     raise?.at ?? Infinity,
-    lent?.until ?? Infinity,
-    ...loans.valueSeq().map(({ until }) => until),
+    leased?.until ?? Infinity,
+    ...leases.valueSeq().map(({ until }) => until),
   );
   if (at > now) return bucket;
   const filled = fill(expireGrants(bucket, at), at);
@@ -152,8 +152,8 @@
         };
   const next = {
     ...raised,
-    lent: lent === null || lent.until <= at ? null : lent,
-    loans: loans.filter(({ until }) => until > at),
+    leased: leased === null || leased.until <= at ? null : leased,
+    leases: leases.filter(({ until }) => until > at),
   };
   return applyChanges({ ...next, free: capFree(next.free, next) }, now);
 }
@@ -163,7 +163,7 @@
  *
  * @param bucket - the bucket
  * @param now - the instant
- * @returns the bucket after expiry of grants and loans, a due raise and refill
+ * @returns the bucket after expiry of grants and leases, a due raise and refill
  */
 export function advanceBucket(bucket: Bucket, now: Instant): Bucket {
   return fill(expireGrants(applyChanges(bucket, now), now), now);
@@ -204,70 +204,70 @@
 }
 
 /**
- * Lends the whole share with its free tokens. What is outstanding is lent with a later renewal.
+ * Leases the whole share with its free tokens. What is outstanding is leased with a later renewal.
  *
  * @param bucket - the bucket, advanced to now
- * @param borrower - the run of the holder that borrows
+ * @param lessee - the run of the holder that leases
  * @param now - the present instant
  * @param until - instant from which the share is back
  * @returns the bucket and the share, or null when the share is in use
  */
-export function lendShare(
+export function leaseShare(
   bucket: Bucket,
-  borrower: string,
+  lessee: string,
   now: Instant,
   until: Instant,
-): { readonly bucket: Bucket; readonly share: Omit<LentShare, 'account'> } | null {
-  const { lent, loans, opensAt, ratePerSecond, outstanding } = bucket;
-  const isTaken = lent !== null && lent.borrower !== borrower;
-  if (isTaken || !loans.isEmpty() || opensAt > now) return null;
+): { readonly bucket: Bucket; readonly share: Omit<LeasedShare, 'account'> } | null {
+  const { leased, leases, opensAt, ratePerSecond, outstanding } = bucket;
+  const isTaken = leased !== null && leased.lessee !== lessee;
+  if (isTaken || !leases.isEmpty() || opensAt > now) return null;
   const burst = Math.max(0, bucket.burst - outstanding);
   const tokens = Math.min(bucket.free, burst);
   return {
-    bucket: { ...bucket, free: 0, lent: { borrower, burst, until } },
+    bucket: { ...bucket, free: 0, leased: { lessee, burst, until } },
     share: { ratePerSecond, burst, tokens },
   };
 }
 
 /**
- * Adds the share of another seat, in place of an earlier loan of that seat.
+ * Adds the share of another seat, in place of an earlier lease of that seat.
  *
  * @param bucket - the bucket, advanced to now
  * @param known - the other seat's share under the configuration in force here
- * @param lent - what the other seat lends
+ * @param leased - what the other seat leases
  * @param until - instant from which it may not be used any more
  * @returns the bucket
  */
-export function borrowShare(
+export function useLeasedShare(
   bucket: Bucket,
   known: SeatShare,
-  lent: Omit<LentShare, 'account'>,
+  leased: Omit<LeasedShare, 'account'>,
   until: Instant,
 ): Bucket {
-  const loan = {
-    ratePerSecond: Math.min(known.ratePerSecond, lent.ratePerSecond),
-    burst: Math.min(known.burst, lent.burst),
+  const lease = {
+    ratePerSecond: Math.min(known.ratePerSecond, leased.ratePerSecond),
+    burst: Math.min(known.burst, leased.burst),
     until,
   };
-  const next = { ...bucket, loans: bucket.loans.set(known.seat, loan) };
-  return { ...next, free: capFree(bucket.free + lent.tokens, next) };
+  const next = { ...bucket, leases: bucket.leases.set(known.seat, lease) };
+  return { ...next, free: capFree(bucket.free + leased.tokens, next) };
 }
 
 /**
- * Keeps loans within the shares of a new configuration.
+ * Keeps leases within the shares of a new configuration.
  *
  * @param bucket - the bucket, advanced to now
- * @param lenders - shares of the seats that lend to this one
+ * @param lessors - shares of the seats that lease to this one
  * @returns the bucket
  */
-export function limitLoans(bucket: Bucket, lenders: readonly SeatShare[]): Bucket {
-  const loans = bucket.loans.flatMap((loan, seat) => {
-    const known = lenders.find((share) => share.seat === seat);
+export function limitLeases(bucket: Bucket, lessors: readonly SeatShare[]): Bucket {
+  const leases = bucket.leases.flatMap((lease, seat) => {
+    const known = lessors.find((share) => share.seat === seat);
     if (known === undefined) return [];
-    const ratePerSecond = Math.min(known.ratePerSecond, loan.ratePerSecond);
-    return [[seat, { ...loan, ratePerSecond, burst: Math.min(known.burst, loan.burst) }]];
+    const ratePerSecond = Math.min(known.ratePerSecond, lease.ratePerSecond);
+    return [[seat, { ...lease, ratePerSecond, burst: Math.min(known.burst, lease.burst) }]];
   });
-  const next = { ...bucket, loans };
+  const next = { ...bucket, leases };
   return { ...next, free: capFree(bucket.free, next) };
 }
 
@@ -302,7 +302,7 @@
   if (tokens === 0) {
     const missing = Math.max(0, 1 - bucket.free);
     const { ratePerSecond } = limitOf(bucket);
-    const backMs = bucket.lent === null ? DRAWER_MS : bucket.lent.until - now;
+    const backMs = bucket.leased === null ? DRAWER_MS : bucket.leased.until - now;
     const waitMs = ratePerSecond > 0 ? (missing * 1000) / ratePerSecond : backMs;
     return { bucket, tokens, retryAfterMs: Math.max(1, Math.ceil(waitMs)) };
   }
--- a/src/core/credit/credit-message.ts
+++ b/src/core/credit/credit-message.ts
@@ -6,7 +6,7 @@
   RequestId,
   ZoneName,
 } from '../model/names.js';
-import type { Draw, Grant, Loan, LoanRequest, Settlement } from '../model/peer-message.js';
+import type { Draw, Grant, Lease, LeaseRequest, Settlement } from '../model/peer-message.js';
 import type { Milliseconds } from '../model/time.js';
 import type { Violation } from '../promises/violation.js';
 
@@ -20,11 +20,11 @@
       readonly settlement: Settlement;
     }
   | {
-      readonly kind: 'loan-requested';
+      readonly kind: 'lease-requested';
       readonly peer: BackendServerName;
-      readonly request: LoanRequest;
+      readonly request: LeaseRequest;
     }
-  | { readonly kind: 'lent'; readonly seat: BackendServerName; readonly loan: Loan }
+  | { readonly kind: 'leased'; readonly seat: BackendServerName; readonly lease: Lease }
   /** The configuration service answered. */
   | { readonly kind: 'service-heard' }
   /** A frame came from a node of the zone. */
@@ -38,15 +38,15 @@
 export type HolderEffect =
   | { readonly kind: 'grant'; readonly peer: BackendServerName; readonly grant: Grant }
   | {
-      readonly kind: 'send-loan-request';
+      readonly kind: 'send-lease-request';
       readonly seat: BackendServerName;
-      readonly request: LoanRequest;
+      readonly request: LeaseRequest;
     }
-  | { readonly kind: 'send-loan'; readonly peer: BackendServerName; readonly loan: Loan }
+  | { readonly kind: 'send-lease'; readonly peer: BackendServerName; readonly lease: Lease }
   | Violation;
 
-/** Messages to the wallet, the keeper of an entry's grants. */
-export type WalletMessage =
+/** Messages to the quota cache, the keeper of an entry's grants. */
+export type CacheMessage =
   | { readonly kind: 'configured'; readonly configuration: Configuration }
   /** One token is wanted for a root request. */
   | { readonly kind: 'spend'; readonly requestId: RequestId; readonly account: AccountName }
@@ -59,8 +59,8 @@
   | { readonly kind: 'stop' }
   | { readonly kind: 'tick' };
 
-/** What a wallet asks its task to do. */
-export type WalletEffect =
+/** What a quota cache asks its task to do. */
+export type CacheEffect =
   | { readonly kind: 'admit'; readonly requestId: RequestId }
   | {
       readonly kind: 'refuse';
--- a/src/core/credit/purse.ts
+++ b/src/core/credit/held-grants.ts
@@ -51,7 +51,7 @@
 }
 
 /** Grants, draws and waiting requests of one account at one entry. */
-export interface Purse {
+export interface HeldGrants {
   /** Seats of the account in the order in which they are asked. */
   readonly seats: readonly BackendServerName[];
   /** Seats of a pool are always asked in order, since the first one up has the shares of all. */
@@ -70,20 +70,20 @@
   readonly aheadAgainAt: Instant;
 }
 
-/** What a purse takes from the configuration. */
-export type AccountSeats = Pick<Purse, 'seats' | 'isPooled' | 'ratePerSecond' | 'burst'>;
+/** What the grants of an account take from the configuration. */
+export type AccountSeats = Pick<HeldGrants, 'seats' | 'isPooled' | 'ratePerSecond' | 'burst'>;
 
 const FRESH_VIEW: SeatView = { askAgainAt: 0, tokenAt: 0, shortfalls: 0 };
 
 /**
- * Makes an empty purse.
+ * Starts without grants.
  *
  * @param account - the account's seats, rate and burst
  * @param offset - where this entry starts to ask, so that entries spread over the seats
  * @param now - the present instant
- * @returns the purse
+ * @returns what is held for the account
  */
-export function emptyPurse(account: AccountSeats, offset: number, now: Instant): Purse {
+export function nothingHeld(account: AccountSeats, offset: number, now: Instant): HeldGrants {
   const { seats, isPooled } = account;
   return {
     ...account,
@@ -101,34 +101,38 @@
 /**
  * Estimates the demand.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns spends per second, averaged over about the last second
  */
-export function demandPerSecond(purse: Purse, now: Instant): number {
-  return (purse.demand * Math.exp((purse.demandAt - now) / DEMAND_MS) * 1000) / DEMAND_MS;
+export function demandPerSecond(held: HeldGrants, now: Instant): number {
+  return (held.demand * Math.exp((held.demandAt - now) / DEMAND_MS) * 1000) / DEMAND_MS;
 }
 
 /**
  * Counts one spend.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
- * @returns the purse with the new demand
+ * @returns what is held with the new demand
  */
-export function countDemand(purse: Purse, now: Instant): Purse {
-  return { ...purse, demand: (demandPerSecond(purse, now) * DEMAND_MS) / 1000 + 1, demandAt: now };
+export function countDemand(held: HeldGrants, now: Instant): HeldGrants {
+  return {
+    ...held,
+    demand: (demandPerSecond(held, now) * DEMAND_MS) / 1000 + 1,
+    demandAt: now,
+  };
 }
 
 /**
  * Finds the seats that may be asked now, starting with the one whose turn it is.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns seats neither silent nor paused
  */
-export function askableSeats(purse: Purse, now: Instant): readonly BackendServerName[] {
-  const { seats, nextSeat, views } = purse;
+export function askableSeats(held: HeldGrants, now: Instant): readonly BackendServerName[] {
+  const { seats, nextSeat, views } = held;
   return [...seats.slice(nextSeat), ...seats.slice(0, nextSeat)].filter(
     (seat) => (views.get(seat) ?? FRESH_VIEW).askAgainAt <= now,
   );
@@ -137,12 +141,12 @@
 /**
  * Counts the requested tokens that may still come in time for a waiting request.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns tokens of draws younger than the answer limit
  */
-export function tokensUnderWay(purse: Purse, now: Instant): number {
-  return purse.pending.reduce(
+export function tokensUnderWay(held: HeldGrants, now: Instant): number {
+  return held.pending.reduce(
     (sum, { want, sentAt }) => (sentAt > now - ANSWER_LIMIT_MS ? sum + want : sum),
     0,
   );
@@ -151,12 +155,12 @@
 /**
  * Counts the tokens that need no replacement yet.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns unspent tokens that live long enough
  */
-export function lastingTokens(purse: Purse, now: Instant): number {
-  return purse.grants.reduce(
+export function lastingTokens(held: HeldGrants, now: Instant): number {
+  return held.grants.reduce(
     (sum, { tokens, spent, expiresAt }) =>
       expiresAt - now > REPLACE_BEFORE_MS ? sum + tokens - spent : sum,
     0,
@@ -166,12 +170,12 @@
 /**
  * Finds the oldest grant with a valid token.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns the grant, or undefined
  */
-export function spendableGrant(purse: Purse, now: Instant): HeldGrant | undefined {
-  return purse.grants.find(({ tokens, spent, expiresAt }) => spent < tokens && now < expiresAt);
+export function spendableGrant(held: HeldGrants, now: Instant): HeldGrant | undefined {
+  return held.grants.find(({ tokens, spent, expiresAt }) => spent < tokens && now < expiresAt);
 }
 
 /**
@@ -188,81 +192,81 @@
 /**
  * Notes a draw that was sent.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param drawId - its identifier
  * @param draw - the draw
- * @returns the purse; without a pool the turn passes to the following seat
+ * @returns what is held; without a pool the turn passes to the following seat
  */
-export function notePending(purse: Purse, drawId: number, draw: PendingDraw): Purse {
-  const following = (purse.seats.indexOf(draw.seat) + 1) % Math.max(1, purse.seats.length);
-  const nextSeat = purse.isPooled ? 0 : following;
-  return { ...purse, nextSeat, pending: purse.pending.set(drawId, draw) };
+export function notePending(held: HeldGrants, drawId: number, draw: PendingDraw): HeldGrants {
+  const following = (held.seats.indexOf(draw.seat) + 1) % Math.max(1, held.seats.length);
+  const nextSeat = held.isPooled ? 0 : following;
+  return { ...held, nextSeat, pending: held.pending.set(drawId, draw) };
 }
 
 /**
  * Notes how fully a seat answered. Pauses double, so that an account that floods costs few
  * messages; one shortfall pauses briefly, so that an account inside its rate is not refused.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param seat - the seat
  * @param answer - missing tokens and the holder's estimate
  * @param now - the present instant
- * @returns the purse
+ * @returns what is held for the account
  */
 export function noteAnswer(
-  purse: Purse,
+  held: HeldGrants,
   seat: BackendServerName,
   answer: { readonly given: number; readonly need: number; readonly retryAfterMs: Milliseconds },
   now: Instant,
-): Purse {
+): HeldGrants {
   const { given, need, retryAfterMs } = answer;
-  if (given >= need) return { ...purse, views: purse.views.delete(seat) };
-  const shortfalls = (purse.views.get(seat) ?? FRESH_VIEW).shortfalls + 1;
+  if (given >= need) return { ...held, views: held.views.delete(seat) };
+  const shortfalls = (held.views.get(seat) ?? FRESH_VIEW).shortfalls + 1;
   const backOffMs = PAUSE_MIN_MS * 2 ** Math.min(shortfalls - 1, 10);
   const pauseMs = Math.min(PAUSE_MAX_MS, Math.max(backOffMs, given === 0 ? retryAfterMs : 0));
   const view = { askAgainAt: now + pauseMs, tokenAt: now + retryAfterMs, shortfalls };
-  return { ...purse, views: purse.views.set(seat, view) };
+  return { ...held, views: held.views.set(seat, view) };
 }
 
 /**
  * Passes over a seat that cannot be reached or does not answer.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param seat - the seat
  * @param now - the present instant
- * @returns the purse
+ * @returns what is held for the account
  */
-export function noteSilence(purse: Purse, seat: BackendServerName, now: Instant): Purse {
+export function noteSilence(held: HeldGrants, seat: BackendServerName, now: Instant): HeldGrants {
   const view = { askAgainAt: now + SILENT_MS, tokenAt: now + SILENT_MS, shortfalls: 1 };
-  return { ...purse, views: purse.views.set(seat, view) };
+  return { ...held, views: held.views.set(seat, view) };
 }
 
 /**
  * Ends draws that were not answered in time and forgets those whose grant would be expired.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
- * @returns the purse
+ * @returns what is held for the account
  */
-export function reviewPending(purse: Purse, now: Instant): Purse {
-  return purse.pending.reduce((next, { seat, sentAt }, drawId) => {
+export function reviewPending(held: HeldGrants, now: Instant): HeldGrants {
+  return held.pending.reduce((next, { seat, sentAt }, drawId) => {
     if (now - sentAt < ANSWER_LIMIT_MS) return next;
     const isPassed = (next.views.get(seat) ?? FRESH_VIEW).askAgainAt > now;
     const silent = isPassed ? next : noteSilence(next, seat, now);
     const isOver = now - sentAt >= GRANT_LIFETIME_MS;
     return isOver ? { ...silent, pending: silent.pending.delete(drawId) } : silent;
-  }, purse);
+  }, held);
 }
 
 /**
  * Estimates when a refused caller may find a token.
  *
- * @param purse - the purse
+ * @param held - what is held for the account
  * @param now - the present instant
  * @returns time in milliseconds, at least 1
  */
-export function retryAfter(purse: Purse, now: Instant): Milliseconds {
-  const instants = purse.seats.map((seat) => (purse.views.get(seat) ?? FRESH_VIEW).tokenAt);
+export function retryAfter(held: HeldGrants, now: Instant): Milliseconds {
+  const instants = held.seats.map((seat) => (held.views.get(seat) ?? FRESH_VIEW).tokenAt);
   const soonest = instants.length === 0 ? now + SILENT_MS : Math.min(...instants);
   return Math.max(1, Math.ceil(soonest - now));
 }
--- a/src/core/credit/holder.ts
+++ b/src/core/credit/holder.ts
@@ -8,7 +8,7 @@
 import {
   advanceBucket,
   emptyBucket,
-  limitLoans,
+  limitLeases,
   limitOf,
   pruneDrawers,
   reshareBucket,
@@ -19,22 +19,22 @@
 import type { HolderEffect, HolderMessage } from './credit-message.js';
 import { splitOverSeats } from './seat-split.js';
 import {
-  acceptLoan,
+  acceptLease,
   configurePools,
-  EMPTY_LOAN_BOOK,
+  NO_LEASES,
   hasWholePool,
-  lendShares,
+  leaseShares,
   notePoolDraw,
   notePredecessor,
-  requestLoans,
+  requestLeases,
   type Shares,
-} from './share-loans.js';
+} from './share-leases.js';
 
 /** Interval in which the task sends `tick`. */
 export const HOLDER_TICK_MS = 100;
 
 /**
- * Longer than the isolation limit, a loan and a grant's lifetime together (5707 ms), so that
+ * Longer than the isolation limit, a lease and a grant's lifetime together (5707 ms), so that
  * a lost predecessor and whoever uses its share have stopped.
  */
 export const HOLDER_WAIT_MS = 6000;
@@ -94,7 +94,7 @@
     phase: { kind: 'waiting', since: now },
     configuration: null,
     buckets: Map(),
-    book: EMPTY_LOAN_BOOK,
+    book: NO_LEASES,
     outsideAt: now,
     zonesHeard: Map(),
     steppedAt: now,
@@ -106,9 +106,9 @@
   const buckets = holder.buckets.map((bucket) => ({
     ...advanceBucket(bucket, now),
     free: 0,
-    loans: Map<BackendServerName, never>(),
+    leases: Map<BackendServerName, never>(),
   }));
-  const book = { ...holder.book, requests: EMPTY_LOAN_BOOK.requests };
+  const book = { ...holder.book, requests: NO_LEASES.requests };
   return { ...holder, phase: { kind: 'waiting', since: now }, zonesHeard: Map(), buckets, book };
 }
 
@@ -154,7 +154,7 @@
       const bucket = holder.buckets.get(account);
       if (bucket === undefined) return [account, emptyBucket(share, opensAt)] as const;
       const reshared = reshareBucket(advanceBucket(bucket, now), share, opensAt);
-      return [account, limitLoans(reshared, book.pools.get(account)?.later ?? [])] as const;
+      return [account, limitLeases(reshared, book.pools.get(account)?.later ?? [])] as const;
     }),
   );
   return { ...holder, configuration, buckets, book };
@@ -250,29 +250,29 @@
   const buckets = holder.buckets.map((bucket) => pruneDrawers(advanceBucket(bucket, now), now));
   const advanced = { ...holder, buckets };
   return holder.phase.kind === 'granting'
-    ? withShares(advanced, requestLoans(advanced, holder.incarnation, now))
+    ? withShares(advanced, requestLeases(advanced, holder.incarnation, now))
     : step(advanced);
 }
 
-function lend(
+function grantLeases(
   holder: Holder,
-  message: Extract<HolderMessage, { kind: 'loan-requested' }>,
+  message: Extract<HolderMessage, { kind: 'lease-requested' }>,
   now: Instant,
 ): Step<Holder, HolderEffect> {
   const { peer, request } = message;
   const noted = { ...holder, book: notePredecessor(holder.book, request.accounts, now) };
   if (holder.phase.kind !== 'granting') return step(noted);
-  return withShares(noted, lendShares(noted, peer, request, now));
+  return withShares(noted, leaseShares(noted, peer, request, now));
 }
 
-function borrow(
+function takeLease(
   holder: Holder,
-  { seat, loan }: Extract<HolderMessage, { kind: 'lent' }>,
+  { seat, lease }: Extract<HolderMessage, { kind: 'leased' }>,
   now: Instant,
 ): Step<Holder, HolderEffect> {
-  const isMine = loan.incarnation === holder.incarnation;
+  const isMine = lease.incarnation === holder.incarnation;
   if (holder.phase.kind !== 'granting' || !isMine) return step(holder);
-  return withShares(holder, step(acceptLoan(holder, seat, loan, now)));
+  return withShares(holder, step(acceptLease(holder, seat, lease, now)));
 }
 
 /**
@@ -296,10 +296,10 @@
       return answerDraw(holder, message.peer, message.draw, now);
     case 'settled':
       return settle(holder, message, now);
-    case 'loan-requested':
-      return lend(holder, message, now);
-    case 'lent':
-      return borrow(holder, message, now);
+    case 'lease-requested':
+      return grantLeases(holder, message, now);
+    case 'leased':
+      return takeLease(holder, message, now);
     case 'service-heard':
       return step({ ...holder, outsideAt: now });
     case 'zone-heard':
--- a/src/core/credit/seat-split.ts
+++ b/src/core/credit/seat-split.ts
@@ -21,7 +21,7 @@
 }
 
 /**
- * Tells whether the seats of an account lend their shares to the first of them that is up. Larger
+ * Tells whether the seats of an account lease their shares to the first of them that is up. Larger
  * accounts do without, since one holder would have to answer all their draws.
  *
  * @param account - the account
@@ -53,3 +53,13 @@
     return { seat, burst: part, ratePerSecond: tokens === 0 ? 0 : (ratePerSecond * part) / tokens };
   });
 }
+
+/**
+ * Finds where an entry starts in the order of seats, so that entries start at different ones.
+ *
+ * @param node - name of the entry's backend server
+ * @returns the sum of its character codes, which spreads numbered names
+ */
+export function seatOffset(node: BackendServerName): number {
+  return [...node].reduce((sum, character) => sum + (character.codePointAt(0) ?? 0), 0);
+}
--- a/src/core/credit/share-loans.ts
+++ b/src/core/credit/share-leases.ts
@@ -1,65 +1,71 @@
 import { Map } from 'immutable';
 import type { Account } from '../model/configuration.js';
 import type { AccountName, BackendServerName, Incarnation } from '../model/names.js';
-import type { LentShare, Loan, LoanRequest } from '../model/peer-message.js';
+import type { LeasedShare, Lease, LeaseRequest } from '../model/peer-message.js';
 import type { Instant } from '../model/time.js';
 import { step, type Step } from '../task/decision.js';
-import { advanceBucket, borrowShare, lendShare, OUTSTANDING_MS, type Bucket } from './bucket.js';
+import {
+  advanceBucket,
+  useLeasedShare,
+  leaseShare,
+  OUTSTANDING_MS,
+  type Bucket,
+} from './bucket.js';
 import type { HolderEffect } from './credit-message.js';
 import { isPooled, splitOverSeats, type SeatShare } from './seat-split.js';
 
 /**
- * Time in which a borrower may use a share, counted from the sending of its request. A loan, the
+ * Time in which a lessee may use a share, counted from the sending of its request. A lease, the
  * grants made from it and `HOLDER_ISOLATION_MS` together end before `HOLDER_WAIT_MS`, so that the
- * loan of a lost holder is over when its successor grants.
+ * lease of a lost holder is over when its successor grants.
  */
-export const LOAN_LIFETIME_MS = 500;
+export const LEASE_LIFETIME_MS = 500;
 
-/** A little less than two ticks of the holder; one lost renewal does not end a loan. */
-const LOAN_RENEW_MS = 150;
+/** A little less than two ticks of the holder; one lost renewal does not end a lease. */
+const LEASE_RENEW_MS = 150;
 
-/** 1% for clocks that run at different speeds, and the lifetime of grants from a lent share. */
-const LENT_MS = LOAN_LIFETIME_MS * 1.01 + OUTSTANDING_MS;
+/** 1% for clocks that run at different speeds, and the lifetime of grants from a leased share. */
+const LEASED_OUT_MS = LEASE_LIFETIME_MS * 1.01 + OUTSTANDING_MS;
 
 /** A seat takes the place of earlier ones after this time without a request from any of them. */
 const PRECEDED_MS = 2000;
 
-/** An account without draws for this time borrows nothing, so that idle accounts cost nothing. */
+/** An account without draws for this time leases nothing, so that idle accounts cost nothing. */
 const POOL_IDLE_MS = 60_000;
 
 /** Place of this seat among the seats of one account with a small burst. */
 interface Pool {
   readonly isFirst: boolean;
-  /** Shares of the seats after this one, from which it borrows. */
+  /** Shares of the seats after this one, from which it leases. */
   readonly later: readonly SeatShare[];
   readonly drawnAt: Instant;
   /** Last instant at which an earlier seat was known to be up. */
   readonly precededAt: Instant;
 }
 
-/** What a holder keeps of its loans besides its buckets. */
-export interface LoanBook {
+/** What a holder keeps of its leases besides its buckets. */
+export interface LeaseTable {
   readonly pools: Map<AccountName, Pool>;
   /** Requests by identifier that may still be answered in time. */
   readonly requests: Map<
     number,
-    { readonly seat: BackendServerName; readonly sentAt: Instant; readonly loanId: number }
+    { readonly seat: BackendServerName; readonly sentAt: Instant; readonly leaseId: number }
   >;
-  readonly lastLoanId: number;
+  readonly lastLeaseId: number;
   readonly renewAt: Instant;
 }
 
-/** Buckets and loans of a holder. */
+/** Buckets and leases of a holder. */
 export interface Shares {
   readonly buckets: Map<AccountName, Bucket>;
-  readonly book: LoanBook;
+  readonly book: LeaseTable;
 }
 
 /** A book without pools and requests. */
-export const EMPTY_LOAN_BOOK: LoanBook = {
+export const NO_LEASES: LeaseTable = {
   pools: Map(),
   requests: Map(),
-  lastLoanId: 0,
+  lastLeaseId: 0,
   renewAt: 0,
 };
 
@@ -74,12 +80,12 @@
  * @returns the book with pools for the accounts with a small burst
  */
 export function configurePools(
-  book: LoanBook,
+  book: LeaseTable,
   accounts: readonly Account[],
   seats: readonly BackendServerName[],
   own: BackendServerName,
   now: Instant,
-): LoanBook {
+): LeaseTable {
   const pools = accounts.filter(isPooled).flatMap((account) => {
     const shares = splitOverSeats(account, seats);
     const place = shares.findIndex(({ seat }) => seat === own);
@@ -95,14 +101,14 @@
 }
 
 /**
- * Notes a draw, which keeps the loans of its account alive.
+ * Notes a draw, which keeps the leases of its account alive.
  *
  * @param book - the book
  * @param account - the account
  * @param now - the present instant
  * @returns the book
  */
-export function notePoolDraw(book: LoanBook, account: AccountName, now: Instant): LoanBook {
+export function notePoolDraw(book: LeaseTable, account: AccountName, now: Instant): LeaseTable {
   const pool = book.pools.get(account);
   if (pool === undefined) return book;
   const isIdle = now - pool.drawnAt >= POOL_IDLE_MS;
@@ -112,7 +118,7 @@
 }
 
 /**
- * Notes that an earlier seat is up, since only earlier seats ask for loans.
+ * Notes that an earlier seat is up, since only earlier seats ask for leases.
  *
  * @param book - the book
  * @param accounts - accounts for which the seat asked
@@ -120,10 +126,10 @@
  * @returns the book
  */
 export function notePredecessor(
-  book: LoanBook,
+  book: LeaseTable,
   accounts: readonly AccountName[],
   now: Instant,
-): LoanBook {
+): LeaseTable {
   const pools = accounts.reduce((next, account) => {
     const pool = next.get(account);
     return pool === undefined ? next : next.set(account, { ...pool, precededAt: now });
@@ -139,26 +145,26 @@
  * @param bucket - its bucket, advanced to now
  * @returns true when another seat is not worth asking
  */
-export function hasWholePool(book: LoanBook, account: AccountName, bucket: Bucket): boolean {
+export function hasWholePool(book: LeaseTable, account: AccountName, bucket: Bucket): boolean {
   const pool = book.pools.get(account);
-  return pool !== undefined && pool.later.every(({ seat }) => bucket.loans.has(seat));
+  return pool !== undefined && pool.later.every(({ seat }) => bucket.leases.has(seat));
 }
 
-function isBorrowing(pool: Pool, bucket: Bucket | undefined, now: Instant): boolean {
-  if (bucket === undefined || bucket.opensAt > now || bucket.lent !== null) return false;
+function isLeasing(pool: Pool, bucket: Bucket | undefined, now: Instant): boolean {
+  if (bucket === undefined || bucket.opensAt > now || bucket.leased !== null) return false;
   const isHead = pool.isFirst || now - pool.precededAt >= PRECEDED_MS;
   return isHead && now - pool.drawnAt < POOL_IDLE_MS;
 }
 
 /**
- * Asks for loans and renewals, one message for each lender.
+ * Asks for leases and renewals, one message for each lessor.
  *
  * @param shares - buckets and book
  * @param incarnation - this run of the holder
  * @param now - the present instant
  * @returns the shares and the requests
  */
-export function requestLoans(
+export function requestLeases(
   shares: Shares,
   incarnation: Incarnation,
   now: Instant,
@@ -167,96 +173,96 @@
   if (now < book.renewAt) return step(shares);
   const wanted = book.pools
     .toSeq()
-    .filter((pool, account) => isBorrowing(pool, buckets.get(account), now))
+    .filter((pool, account) => isLeasing(pool, buckets.get(account), now))
     .entrySeq()
     .flatMap(([account, { later }]) => later.map(({ seat }) => ({ account, seat })))
     .groupBy(({ seat }) => seat)
     .entrySeq()
     .map(([seat, entries], place) => ({
       seat,
-      loanId: book.lastLoanId + place + 1,
+      leaseId: book.lastLeaseId + place + 1,
       accounts: entries.map(({ account }) => account).toArray(),
     }))
     .toArray();
   const requests = book.requests
-    .filter(({ sentAt }) => now - sentAt < LOAN_LIFETIME_MS)
-    .merge(wanted.map(({ seat, loanId }) => [loanId, { seat, sentAt: now, loanId }] as const));
-  const lastLoanId = book.lastLoanId + wanted.length;
+    .filter(({ sentAt }) => now - sentAt < LEASE_LIFETIME_MS)
+    .merge(wanted.map(({ seat, leaseId }) => [leaseId, { seat, sentAt: now, leaseId }] as const));
+  const lastLeaseId = book.lastLeaseId + wanted.length;
   return step<Shares, HolderEffect>(
-    { buckets, book: { ...book, requests, lastLoanId, renewAt: now + LOAN_RENEW_MS } },
-    ...wanted.map(({ seat, loanId, accounts }) => ({
-      kind: 'send-loan-request' as const,
+    { buckets, book: { ...book, requests, lastLeaseId, renewAt: now + LEASE_RENEW_MS } },
+    ...wanted.map(({ seat, leaseId, accounts }) => ({
+      kind: 'send-lease-request' as const,
       seat,
-      request: { kind: 'loan-request' as const, loanId, incarnation, accounts },
+      request: { kind: 'lease-request' as const, leaseId, incarnation, accounts },
     })),
   );
 }
 
 /**
- * Lends shares to an earlier seat. A seat lends to one run of one holder at a time, whoever asks,
+ * Leases shares to an earlier seat. A seat leases to one run of one holder at a time, whoever asks,
  * so hosts that disagree about the seats cannot use a share twice.
  *
  * @param shares - buckets and book
- * @param peer - the node of the borrower
+ * @param peer - the node of the lessee
  * @param request - its request
  * @param now - the present instant
- * @returns the shares after the debit, and the loan
+ * @returns the shares after the debit, and the lease
  */
-export function lendShares(
+export function leaseShares(
   shares: Shares,
   peer: BackendServerName,
-  request: LoanRequest,
+  request: LeaseRequest,
   now: Instant,
 ): Step<Shares, HolderEffect> {
-  const { loanId, incarnation, accounts } = request;
-  const borrower = `${peer}/${incarnation}`;
-  const lent: LentShare[] = [];
+  const { leaseId, incarnation, accounts } = request;
+  const lessee = `${peer}/${incarnation}`;
+  const leased: LeasedShare[] = [];
   let { buckets } = shares;
   accounts.forEach((account) => {
     const bucket = buckets.get(account);
     const given =
       bucket === undefined
         ? null
-        : lendShare(advanceBucket(bucket, now), borrower, now, now + LENT_MS);
+        : leaseShare(advanceBucket(bucket, now), lessee, now, now + LEASED_OUT_MS);
     if (given === null) return;
     buckets = buckets.set(account, given.bucket);
-    lent.push({ account, ...given.share });
+    leased.push({ account, ...given.share });
   });
-  if (lent.length === 0) return step<Shares, HolderEffect>(shares);
-  const loan: Loan = { kind: 'loan', loanId, incarnation, shares: lent };
-  return step<Shares, HolderEffect>({ ...shares, buckets }, { kind: 'send-loan', peer, loan });
+  if (leased.length === 0) return step<Shares, HolderEffect>(shares);
+  const lease: Lease = { kind: 'lease', leaseId, incarnation, shares: leased };
+  return step<Shares, HolderEffect>({ ...shares, buckets }, { kind: 'send-lease', peer, lease });
 }
 
 /**
- * Takes a loan into use. A repeated or overtaken reply has no request any more.
+ * Takes a lease into use. A repeated or overtaken reply has no request any more.
  *
  * @param shares - buckets and book
- * @param seat - the lender
- * @param loan - its reply
+ * @param seat - the lessor
+ * @param lease - its reply
  * @param now - the present instant
  * @returns the shares
  */
-export function acceptLoan(
+export function acceptLease(
   shares: Shares,
   seat: BackendServerName,
-  loan: Loan,
+  lease: Lease,
   now: Instant,
 ): Shares {
   const { book } = shares;
-  const request = book.requests.get(loan.loanId);
+  const request = book.requests.get(lease.leaseId);
   if (request === undefined || request.seat !== seat) return shares;
-  const until = request.sentAt + LOAN_LIFETIME_MS;
+  const until = request.sentAt + LEASE_LIFETIME_MS;
   const requests = book.requests.filter(
-    (other) => other.seat !== seat || other.loanId > loan.loanId,
+    (other) => other.seat !== seat || other.leaseId > lease.leaseId,
   );
   const used = { ...shares, book: { ...book, requests } };
   if (until <= now) return used;
-  return loan.shares.reduce((next, lent) => {
-    const bucket = next.buckets.get(lent.account);
-    const known = book.pools.get(lent.account)?.later.find((share) => share.seat === seat);
+  return lease.shares.reduce((next, leased) => {
+    const bucket = next.buckets.get(leased.account);
+    const known = book.pools.get(leased.account)?.later.find((share) => share.seat === seat);
     // A share that moved is not used twice while a configuration spreads.
     if (bucket === undefined || known === undefined) return next;
-    const borrowed = borrowShare(advanceBucket(bucket, now), known, lent, until);
-    return { ...next, buckets: next.buckets.set(lent.account, borrowed) };
+    const extended = useLeasedShare(advanceBucket(bucket, now), known, leased, until);
+    return { ...next, buckets: next.buckets.set(leased.account, extended) };
   }, used);
 }
--- a/src/core/model/peer-message.ts
+++ b/src/core/model/peer-message.ts
@@ -36,16 +36,16 @@
 }
 
 /** Request of a holder to use the shares of the seat that receives it. */
-export interface LoanRequest {
-  readonly kind: 'loan-request';
-  readonly loanId: number;
-  /** A lender serves one run of a holder at a time. */
+export interface LeaseRequest {
+  readonly kind: 'lease-request';
+  readonly leaseId: number;
+  /** A lessor serves one run of a holder at a time. */
   readonly incarnation: Incarnation;
   readonly accounts: readonly AccountName[];
 }
 
-/** Share of one account that is lent. */
-export interface LentShare {
+/** Share of one account that is leased. */
+export interface LeasedShare {
   readonly account: AccountName;
   readonly ratePerSecond: number;
   readonly burst: number;
@@ -53,12 +53,12 @@
   readonly tokens: number;
 }
 
-/** Reply to a loan request; already debited at the lender. */
-export interface Loan {
-  readonly kind: 'loan';
-  readonly loanId: number;
+/** Reply to a lease request; already debited at the lessor. */
+export interface Lease {
+  readonly kind: 'lease';
+  readonly leaseId: number;
   readonly incarnation: Incarnation;
-  readonly shares: readonly LentShare[];
+  readonly shares: readonly LeasedShare[];
 }
 
 /** Heartbeat; the echo of the sender's clock bounds the offset between both clocks. */
@@ -99,8 +99,8 @@
   | Draw
   | Grant
   | Settlement
-  | LoanRequest
-  | Loan
+  | LeaseRequest
+  | Lease
   | { readonly kind: 'marks'; readonly marks: readonly Mark[] }
   | { readonly kind: 'incarnations'; readonly seen: readonly SeatIncarnation[] }
   | { readonly kind: 'leaving'; readonly forMs: Milliseconds };
--- a/src/runtime/credit-task.ts
+++ b/src/runtime/credit-task.ts
@@ -2,19 +2,24 @@
 import type {
   HolderEffect,
   HolderMessage,
-  WalletEffect,
-  WalletMessage,
+  CacheEffect,
+  CacheMessage,
 } from '../core/credit/credit-message.js';
 import { decideHolder, HOLDER_TICK_MS, initialHolder, type Holder } from '../core/credit/holder.js';
-import { decideWallet, initialWallet, WALLET_TICK_MS, type Wallet } from '../core/credit/wallet.js';
+import {
+  decideQuotaCache,
+  initialQuotaCache,
+  QUOTA_CACHE_TICK_MS,
+  type QuotaCache,
+} from '../core/credit/quota-cache.js';
 import type { Identity } from '../core/membership/handshake.js';
 import type { Configuration } from '../core/model/configuration.js';
 import type { AccountName, BackendServerName, RequestId } from '../core/model/names.js';
 import type {
   Draw,
   Grant,
-  Loan,
-  LoanRequest,
+  Lease,
+  LeaseRequest,
   PeerMessage,
   Settlement,
 } from '../core/model/peer-message.js';
@@ -50,7 +55,7 @@
 export class CreditTask {
   readonly #options: CreditTaskOptions;
 
-  readonly #wallet: Task<Wallet, WalletMessage, WalletEffect>;
+  readonly #cache: Task<QuotaCache, CacheMessage, CacheEffect>;
 
   readonly #holder: Task<Holder, HolderMessage, HolderEffect>;
 
@@ -67,14 +72,14 @@
   constructor(options: CreditTaskOptions) {
     this.#options = options;
     const { identity, clock } = options;
-    this.#wallet = new Task({
-      initial: initialWallet({
+    this.#cache = new Task({
+      initial: initialQuotaCache({
         node: identity.node,
         firstDrawId: options.randomInteger(FIRST_DRAW_ID_LIMIT),
       }),
-      decide: decideWallet,
+      decide: decideQuotaCache,
       clock,
-      perform: (effect) => this.#performWallet(effect),
+      perform: (effect) => this.#performQuotaCache(effect),
     });
     this.#holder = new Task({
       initial: initialHolder({
@@ -88,7 +93,7 @@
       perform: (effect) => this.#performHolder(effect),
     });
     this.#tickers = [
-      setInterval(() => this.#wallet.send({ kind: 'tick' }), WALLET_TICK_MS),
+      setInterval(() => this.#cache.send({ kind: 'tick' }), QUOTA_CACHE_TICK_MS),
       setInterval(() => this.#holder.send({ kind: 'tick' }), HOLDER_TICK_MS),
     ];
   }
@@ -104,17 +109,17 @@
     const reply = new Promise<Result<void, Refusal>>((resolve) => {
       this.#waiting.set(requestId, resolve);
     });
-    this.#wallet.send({ kind: 'spend', requestId, account });
+    this.#cache.send({ kind: 'spend', requestId, account });
     return new ResultAsync(reply);
   }
 
   /**
-   * Applies a configuration to the wallet and to the seat.
+   * Applies a configuration to the quota cache and to the seat.
    *
    * @param configuration - the configuration in force from now on
    */
   configure(configuration: Configuration): void {
-    this.#wallet.send({ kind: 'configured', configuration });
+    this.#cache.send({ kind: 'configured', configuration });
     this.#holder.send({ kind: 'configured', configuration });
   }
 
@@ -149,7 +154,7 @@
    * @param grant - its grant
    */
   granted(seat: BackendServerName, grant: Grant): void {
-    this.#wallet.send({ kind: 'granted', seat, grant });
+    this.#cache.send({ kind: 'granted', seat, grant });
   }
 
   /**
@@ -177,33 +182,33 @@
    * @param peer - the other holder's node
    * @param request - its request
    */
-  loanRequested(peer: BackendServerName, request: LoanRequest): void {
-    this.#holder.send({ kind: 'loan-requested', peer, request });
+  leaseRequested(peer: BackendServerName, request: LeaseRequest): void {
+    this.#holder.send({ kind: 'lease-requested', peer, request });
   }
 
   /**
-   * Handles the reply to a loan request.
+   * Handles the reply to a lease request.
    *
-   * @param seat - the lender's seat
-   * @param loan - the lent shares
+   * @param seat - the lessor's seat
+   * @param lease - the leased shares
    */
-  lent(seat: BackendServerName, loan: Loan): void {
-    this.#holder.send({ kind: 'lent', seat, loan });
+  leased(seat: BackendServerName, lease: Lease): void {
+    this.#holder.send({ kind: 'leased', seat, lease });
   }
 
   /**
-   * Tells the wallet that no message reaches a seat any more.
+   * Tells the quota cache that no message reaches a seat any more.
    *
    * @param seat - the seat
    */
   seatLost(seat: BackendServerName): void {
     this.#takeLateDraws(seat);
-    this.#wallet.send({ kind: 'seat-lost', seat });
+    this.#cache.send({ kind: 'seat-lost', seat });
   }
 
   /** Hands unspent tokens back. */
   stop(): void {
-    this.#wallet.send({ kind: 'stop' });
+    this.#cache.send({ kind: 'stop' });
   }
 
   /** Stops the timers. */
@@ -211,7 +216,7 @@
     this.#tickers.forEach((ticker) => clearInterval(ticker));
   }
 
-  #performWallet(effect: WalletEffect): void {
+  #performQuotaCache(effect: CacheEffect): void {
     switch (effect.kind) {
       case 'admit':
         this.#reply(effect.requestId, ok(undefined));
@@ -235,18 +240,18 @@
     switch (effect.kind) {
       case 'grant':
         if (effect.peer === this.#options.identity.node) {
-          this.#wallet.send({ kind: 'granted', seat: effect.peer, grant: effect.grant });
+          this.#cache.send({ kind: 'granted', seat: effect.peer, grant: effect.grant });
         } else {
           // A grant that cannot be sent is lost credit, which keeps the bound.
           this.#options.send(effect.peer, effect.grant);
         }
         break;
-      case 'send-loan-request':
+      case 'send-lease-request':
         if (!this.#options.send(effect.seat, effect.request)) this.#options.wantPeer(effect.seat);
         break;
-      case 'send-loan':
-        // A loan that cannot be sent is lost credit as well.
-        this.#options.send(effect.peer, effect.loan);
+      case 'send-lease':
+        // A lease that cannot be sent is lost credit as well.
+        this.#options.send(effect.peer, effect.lease);
         break;
       case 'violation':
         this.#options.report(effect);
--- a/src/runtime/frame-codec.ts
+++ b/src/runtime/frame-codec.ts
@@ -177,15 +177,15 @@
     spent: finite,
     returned: finite,
   }),
-  'loan-request': Codec.interface({
-    kind: exactly('loan-request'),
-    loanId: finite,
+  'lease-request': Codec.interface({
+    kind: exactly('lease-request'),
+    leaseId: finite,
     incarnation: string,
     accounts: array(string),
   }),
-  loan: Codec.interface({
-    kind: exactly('loan'),
-    loanId: finite,
+  lease: Codec.interface({
+    kind: exactly('lease'),
+    leaseId: finite,
     incarnation: string,
     shares: array(
       Codec.interface({ account: string, ratePerSecond: finite, burst: finite, tokens: finite }),
--- a/src/runtime/peer-router.ts
+++ b/src/runtime/peer-router.ts
@@ -170,11 +170,11 @@
       case 'settlement':
         credit.settled(node, message);
         break;
-      case 'loan-request':
-        credit.loanRequested(node, message);
+      case 'lease-request':
+        credit.leaseRequested(node, message);
         break;
-      case 'loan':
-        credit.lent(node, message);
+      case 'lease':
+        credit.leased(node, message);
         break;
       case 'marks':
         crashes.send({ kind: 'marks-received', marks: message.marks });
--- a/test/core/credit/fleet.test.ts
+++ b/test/core/credit/fleet.test.ts
@@ -4,7 +4,7 @@
 import { decideHolder } from '../../../src/core/credit/holder.js';
 import { auditRate, type Limit } from '../../../src/core/credit/rate-audit.js';
 import { splitOverSeats } from '../../../src/core/credit/seat-split.js';
-import { decideWallet } from '../../../src/core/credit/wallet.js';
+import { decideQuotaCache } from '../../../src/core/credit/quota-cache.js';
 import { account, Fleet, type FleetOptions } from './fleet.js';
 
 const accounts = [account('large', 200, 100), account('middle', 30, 12), account('small', 2, 5)];
@@ -160,10 +160,10 @@
 });
 
 /** Entries stock tokens, fall silent for a second and then spend a whole burst at once. */
-function burstAfterSilence(walletDecision: typeof decideWallet) {
+function burstAfterSilence(quotaCacheDecision: typeof decideQuotaCache) {
   const link = { maxDelayMs: 1, drop: 0, duplicate: 0 };
   const large = account('large', 200, 100);
-  const fleet = new Fleet({ seed: 5, entries: 6, accounts: [large], link, walletDecision });
+  const fleet = new Fleet({ seed: 5, entries: 6, accounts: [large], link, quotaCacheDecision });
   for (let at = 10_000; at < 13_000; at += 6) {
     fleet.at(at, () => fleet.spend(Math.floor(fleet.random() * 6), 'large'));
   }
@@ -174,9 +174,11 @@
 }
 
 test('the check notices grants spent after their lifetime', () => {
-  // Guards against a check that cannot fail: the wallet's clock runs ten times too slowly.
-  assert.deepEqual(burstAfterSilence(decideWallet), []);
-  const late = burstAfterSilence((state, message, now) => decideWallet(state, message, now / 10));
+  // Guards against a check that cannot fail: the quota cache's clock runs ten times too slowly.
+  assert.deepEqual(burstAfterSilence(decideQuotaCache), []);
+  const late = burstAfterSilence((state, message, now) =>
+    decideQuotaCache(state, message, now / 10),
+  );
   assert.ok(late.length > 0);
 });
 
@@ -304,14 +306,14 @@
 });
 
 test('the check notices a share that two holders use', () => {
-  // Guards against a check that cannot fail: lenders do not note what they lend.
+  // Guards against a check that cannot fail: lessors do not note what they lease.
   const { violations } = runPlan(
     1,
     [{ at: 25_000, action: { kind: 'pause', index: 6, ms: 8000 } }],
     {
       holderDecision: (state, message, now) => {
         const { state: next, effects } = decideHolder(state, message, now);
-        return { state: message.kind === 'loan-requested' ? state : next, effects };
+        return { state: message.kind === 'lease-requested' ? state : next, effects };
       },
     },
   );
--- a/test/core/credit/fleet.ts
+++ b/test/core/credit/fleet.ts
@@ -1,7 +1,11 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { HolderMessage, WalletMessage } from '../../../src/core/credit/credit-message.js';
+import type { HolderMessage, CacheMessage } from '../../../src/core/credit/credit-message.js';
 import { decideHolder, HOLDER_TICK_MS, initialHolder } from '../../../src/core/credit/holder.js';
-import { decideWallet, initialWallet, WALLET_TICK_MS } from '../../../src/core/credit/wallet.js';
+import {
+  decideQuotaCache,
+  initialQuotaCache,
+  QUOTA_CACHE_TICK_MS,
+} from '../../../src/core/credit/quota-cache.js';
 import type { Account, Configuration } from '../../../src/core/model/configuration.js';
 import type { Violation } from '../../../src/core/promises/violation.js';
 
@@ -28,7 +32,7 @@
   readonly clockOffset: number;
   pausedUntil: number;
   isAlive: boolean;
-  handle: (message: HolderMessage | WalletMessage, now: number) => void;
+  handle: (message: HolderMessage | CacheMessage, now: number) => void;
 }
 
 export interface FleetOptions {
@@ -37,7 +41,7 @@
   readonly accounts: readonly Account[];
   readonly link: LinkFaults;
   readonly holderDecision?: typeof decideHolder;
-  readonly walletDecision?: typeof decideWallet;
+  readonly quotaCacheDecision?: typeof decideQuotaCache;
 }
 
 export const ZONES = ['north', 'south', 'west'];
@@ -46,7 +50,7 @@
   return { name, ratePerSecond, burst, keyHashes: [], weight: 1, services: [] };
 }
 
-/** Holders and wallets joined in memory, in steps of one millisecond. */
+/** Holders and quota caches joined in memory, in steps of one millisecond. */
 export class Fleet {
   readonly answers: Answer[] = [];
 
@@ -82,10 +86,10 @@
     const rest = { services: [], backendServers: [], routes: [] };
     this.#configuration = { revision: 1, seats, zones, accounts: options.accounts, ...rest };
     this.#entries = Array.from({ length: options.entries }, (_, index) =>
-      this.#wallet(`entry-${index}`),
+      this.#cache(`entry-${index}`),
     );
     seats.forEach((seat) => this.#holders.push(this.#holder(seat)));
-    this.#every(WALLET_TICK_MS, () =>
+    this.#every(QUOTA_CACHE_TICK_MS, () =>
       this.#entries.forEach((entry) => this.#put(entry, { kind: 'tick' })),
     );
     this.#every(HOLDER_TICK_MS, () =>
@@ -133,7 +137,7 @@
     if (process === undefined) return;
     process.isAlive = false;
     const place = this.#entries.indexOf(process);
-    if (place >= 0) this.#entries[place] = this.#wallet(process.name);
+    if (place >= 0) this.#entries[place] = this.#cache(process.name);
     else this.#holders.push(this.#holder(process.name));
   }
 
@@ -194,7 +198,7 @@
     });
   }
 
-  #put(process: Process, message: HolderMessage | WalletMessage): void {
+  #put(process: Process, message: HolderMessage | CacheMessage): void {
     if (!process.isAlive) return;
     if (process.pausedUntil > this.now) {
       this.at(process.pausedUntil, () => this.#put(process, message));
@@ -203,7 +207,7 @@
     process.handle(message, this.now + process.clockOffset);
   }
 
-  #send(from: Process, find: () => Process | undefined, message: HolderMessage | WalletMessage) {
+  #send(from: Process, find: () => Process | undefined, message: HolderMessage | CacheMessage) {
     this.messages += 1;
     const { drop, duplicate, maxDelayMs } = this.#options.link;
     const copies = this.random() < duplicate ? 2 : 1;
@@ -222,12 +226,12 @@
     return { name, zone, clockOffset, pausedUntil: 0, isAlive: true, handle: () => undefined };
   }
 
-  #wallet(name: string): Process {
+  #cache(name: string): Process {
     const process = this.#process(name);
-    const decide = this.#options.walletDecision ?? decideWallet;
-    let state = initialWallet({ node: name, firstDrawId: Math.floor(this.random() * 2 ** 40) });
+    const decide = this.#options.quotaCacheDecision ?? decideQuotaCache;
+    let state = initialQuotaCache({ node: name, firstDrawId: Math.floor(this.random() * 2 ** 40) });
     process.handle = (message, now) => {
-      const { state: next, effects } = decide(state, message as WalletMessage, now);
+      const { state: next, effects } = decide(state, message as CacheMessage, now);
       state = next;
       effects.forEach((effect) => {
         if (effect.kind === 'violation') this.violations.push(effect);
@@ -266,15 +270,15 @@
             this.#send(process, find, { kind: 'granted', seat, grant: effect.grant });
             break;
           }
-          case 'send-loan-request': {
+          case 'send-lease-request': {
             const { request } = effect;
             const find = () => this.#holderOf(effect.seat, process);
-            this.#send(process, find, { kind: 'loan-requested', peer: seat, request });
+            this.#send(process, find, { kind: 'lease-requested', peer: seat, request });
             break;
           }
-          case 'send-loan': {
+          case 'send-lease': {
             const find = () => this.#holderOf(effect.peer, process);
-            this.#send(process, find, { kind: 'lent', seat, loan: effect.loan });
+            this.#send(process, find, { kind: 'leased', seat, lease: effect.lease });
             break;
           }
         }
--- a/test/core/credit/wallet.test.ts
+++ b/test/core/credit/quota-cache.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { WalletEffect, WalletMessage } from '../../../src/core/credit/credit-message.js';
-import { decideWallet, initialWallet } from '../../../src/core/credit/wallet.js';
+import type { CacheEffect, CacheMessage } from '../../../src/core/credit/credit-message.js';
+import { decideQuotaCache, initialQuotaCache } from '../../../src/core/credit/quota-cache.js';
 import { account } from './fleet.js';
 
 const configuration = {
@@ -14,24 +14,28 @@
   routes: [],
 };
 
-/** Feeds messages at instants to a wallet and returns the effects of each. */
-function replay(messages: readonly (readonly [at: number, message: WalletMessage])[]) {
-  let { state } = decideWallet(
-    initialWallet({ node: 'n' }),
+/** Feeds messages at instants to a quota cache and returns the effects of each. */
+function replay(messages: readonly (readonly [at: number, message: CacheMessage])[]) {
+  let { state } = decideQuotaCache(
+    initialQuotaCache({ node: 'n' }),
     { kind: 'configured', configuration },
     0,
   );
   return messages.map(([at, message]) => {
-    const { state: next, effects } = decideWallet(state, message, at);
+    const { state: next, effects } = decideQuotaCache(state, message, at);
     state = next;
     return effects;
   });
 }
 
-const spend = (requestId: string): WalletMessage => ({ kind: 'spend', requestId, account: 'a' });
-const kinds = (effects: readonly WalletEffect[] | undefined) => effects?.map(({ kind }) => kind);
+const spend = (requestId: string): CacheMessage => ({
+  kind: 'spend',
+  requestId,
+  account: 'a',
+});
+const kinds = (effects: readonly CacheEffect[] | undefined) => effects?.map(({ kind }) => kind);
 
-/** Seats in the order in which this wallet asks them. */
+/** Seats in the order in which this quota cache asks them. */
 const [first, second] = ['r1', 'r2'].map((_, place) => {
   const effects = replay([
     [0, spend('r1')],
@@ -41,7 +45,7 @@
   return draw?.kind === 'send-draw' ? draw.seat : '';
 }) as [string, string];
 
-const granted = (seat: string, drawId: number, tokens: number): WalletMessage => ({
+const granted = (seat: string, drawId: number, tokens: number): CacheMessage => ({
   kind: 'granted',
   seat,
   grant: {
@@ -113,7 +117,7 @@
   assert.ok(place >= 1 && place * 20 <= 300, `refused at tick ${place}`);
 });
 
-test('a stopping wallet hands back what it holds', () => {
+test('a stopping cache hands back what it holds', () => {
   // Guards against credit that is lost with every planned stop.
   const steps = replay([
     [0, spend('r1')],
--- a/test/core/credit/share-loans.test.ts
+++ b/test/core/credit/share-leases.test.ts
@@ -3,7 +3,7 @@
 import type { HolderMessage } from '../../../src/core/credit/credit-message.js';
 import { decideHolder, initialHolder } from '../../../src/core/credit/holder.js';
 import { splitOverSeats } from '../../../src/core/credit/seat-split.js';
-import type { Loan } from '../../../src/core/model/peer-message.js';
+import type { Lease } from '../../../src/core/model/peer-message.js';
 import { account } from './fleet.js';
 
 const seats = ['s1', 's2'];
@@ -28,10 +28,10 @@
   peer: 'e',
   draw: { kind: 'draw', drawId, account: 'x', want, isAhead: false },
 });
-const loanRequest = (incarnation: string): HolderMessage => ({
-  kind: 'loan-requested',
+const leaseRequest = (incarnation: string): HolderMessage => ({
+  kind: 'lease-requested',
   peer: first,
-  request: { kind: 'loan-request', loanId: 1, incarnation, accounts: ['x'] },
+  request: { kind: 'lease-request', leaseId: 1, incarnation, accounts: ['x'] },
 });
 
 /** Feeds messages to a holder that hears its zone and ticks every 100 ms. */
@@ -53,20 +53,20 @@
     });
 }
 
-const loansIn = (effects: ReturnType<typeof replay>) =>
-  effects.flatMap(({ effect }) => (effect.kind === 'send-loan' ? effect.loan.shares : []));
+const leasesIn = (effects: ReturnType<typeof replay>) =>
+  effects.flatMap(({ effect }) => (effect.kind === 'send-lease' ? effect.lease.shares : []));
 const grantsIn = (effects: ReturnType<typeof replay>) =>
   effects.flatMap(({ effect }) => (effect.kind === 'grant' ? [effect.grant] : []));
 
-test('a lent share grants nothing until the loan and its grants are over', () => {
-  // Guards rate-bound against a share that lender and borrower use together.
+test('a leased share grants nothing until the lease and its grants are over', () => {
+  // Guards rate-bound against a share that lessor and lessee use together.
   const effects = replay(second, [
-    [20_050, loanRequest('7')],
+    [20_050, leaseRequest('7')],
     [20_060, draw(5)],
     [20_700, draw(5, 2)],
     [23_000, draw(5, 3)],
   ]);
-  const [share] = loansIn(effects);
+  const [share] = leasesIn(effects);
   assert.deepEqual([share?.ratePerSecond, share?.burst], [1, 20]);
   // One token per second since 20050 + 505 + 202 ms.
   assert.deepEqual(
@@ -75,32 +75,32 @@
   );
 });
 
-test('outstanding tokens are not lent', () => {
+test('outstanding tokens are not leased', () => {
   // Guards rate-bound: an entry may still spend them.
   const effects = replay(second, [
     [20_050, draw(8)],
-    [20_060, loanRequest('7')],
+    [20_060, leaseRequest('7')],
   ]);
   assert.deepEqual(
-    loansIn(effects).map(({ burst, tokens }) => [burst, Math.floor(tokens)]),
+    leasesIn(effects).map(({ burst, tokens }) => [burst, Math.floor(tokens)]),
     [[12, 6]],
   );
 });
 
-test('a share is lent to one run of one holder at a time', () => {
-  // Guards rate-bound against a cut-off borrower beside its successor.
+test('a share is leased to one run of one holder at a time', () => {
+  // Guards rate-bound against a cut-off lessee beside its successor.
   const effects = replay(second, [
-    [20_050, loanRequest('7')],
-    [20_100, loanRequest('8')],
-    [20_900, loanRequest('8')],
+    [20_050, leaseRequest('7')],
+    [20_100, leaseRequest('8')],
+    [20_900, leaseRequest('8')],
   ]);
   assert.deepEqual(
-    effects.flatMap(({ at, effect }) => (effect.kind === 'send-loan' ? [at] : [])),
+    effects.flatMap(({ at, effect }) => (effect.kind === 'send-lease' ? [at] : [])),
     [20_050, 20_900],
   );
 });
 
-test('a share that is lowered while it is lent gives no tokens', () => {
+test('a share that is lowered while it is leased gives no tokens', () => {
   // Guards against a negative burst in force, which once granted tokens ahead out of nothing.
   const ahead: HolderMessage = {
     kind: 'draw',
@@ -108,7 +108,7 @@
     draw: { kind: 'draw', drawId: 9, account: 'x', want: 3, isAhead: true },
   };
   const effects = replay(second, [
-    [20_050, loanRequest('7')],
+    [20_050, leaseRequest('7')],
     [20_060, configurationOf(2, 8)],
     [20_070, ahead],
     [20_080, draw(3)],
@@ -120,18 +120,18 @@
   assert.ok(effects.every(({ effect }) => effect.kind !== 'violation'));
 });
 
-/** The first seat draws at 20 s, asks for a loan at its next renewal and gets this reply. */
-function borrowed(change: Partial<Loan>, replyAt: number, draws: readonly number[]) {
+/** The first seat draws at 20 s, asks for a lease at its next renewal and gets this reply. */
+function leased(change: Partial<Lease>, replyAt: number, draws: readonly number[]) {
   const asked = replay(first, [[20_010, draw(1)]]).find(
-    ({ effect }) => effect.kind === 'send-loan-request',
+    ({ effect }) => effect.kind === 'send-lease-request',
   );
-  assert.ok(asked?.effect.kind === 'send-loan-request' && asked.effect.seat === second);
-  const { loanId, incarnation } = asked.effect.request;
+  assert.ok(asked?.effect.kind === 'send-lease-request' && asked.effect.seat === second);
+  const { leaseId, incarnation } = asked.effect.request;
   const shares = [{ account: 'x', ratePerSecond: 1, burst: 20, tokens: 10 }];
-  const loan: Loan = { kind: 'loan', loanId, incarnation, shares, ...change };
+  const lease: Lease = { kind: 'lease', leaseId, incarnation, shares, ...change };
   const effects = replay(first, [
     [20_010, draw(1)],
-    [asked.at + replyAt, { kind: 'lent', seat: second, loan }],
+    [asked.at + replyAt, { kind: 'leased', seat: second, lease }],
     ...draws.map((after, place) => [asked.at + after, draw(100, 10 + place)] as const),
   ]);
   return grantsIn(effects)
@@ -139,17 +139,17 @@
     .map(({ tokens, isFinal }) => [tokens, isFinal]);
 }
 
-test('a borrower uses a loan for its lifetime only', () => {
-  // Guards rate-bound: afterwards the lender grants its share again.
-  assert.deepEqual(borrowed({}, 5, [10]), [[23, true]]);
-  assert.deepEqual(borrowed({}, 5, [510]), [[20, false]]);
-  assert.deepEqual(borrowed({}, 501, [502]), [[13, false]]);
+test('a lessee uses a lease for its lifetime only', () => {
+  // Guards rate-bound: afterwards the lessor grants its share again.
+  assert.deepEqual(leased({}, 5, [10]), [[23, true]]);
+  assert.deepEqual(leased({}, 5, [510]), [[20, false]]);
+  assert.deepEqual(leased({}, 501, [502]), [[13, false]]);
 });
 
-test('a loan of another run, request or size adds nothing', () => {
+test('a lease of another run, request or size adds nothing', () => {
   // Guards rate-bound against repeated replies and against a share of an older configuration.
-  assert.deepEqual(borrowed({ incarnation: '4' }, 5, [10]), [[13, false]]);
-  assert.deepEqual(borrowed({ loanId: 999 }, 5, [10]), [[13, false]]);
+  assert.deepEqual(leased({ incarnation: '4' }, 5, [10]), [[13, false]]);
+  assert.deepEqual(leased({ leaseId: 999 }, 5, [10]), [[13, false]]);
   const shares = [{ account: 'x', ratePerSecond: 50, burst: 500, tokens: 400 }];
-  assert.deepEqual(borrowed({ shares }, 5, [10]), [[39, true]]);
+  assert.deepEqual(leased({ shares }, 5, [10]), [[39, true]]);
 });
--- a/test/runtime/frame-codec.test.ts
+++ b/test/runtime/frame-codec.test.ts
@@ -11,10 +11,10 @@
   { kind: 'draw', drawId, account, want: 12, isAhead: true },
   { kind: 'grant', drawId, account, tokens: 12, retryAfterMs: 0, isFinal: true },
   { kind: 'settlement', drawId, account, spent: 12, returned: 0 },
-  { kind: 'loan-request', loanId: 12_345, incarnation, accounts: [account] },
+  { kind: 'lease-request', leaseId: 12_345, incarnation, accounts: [account] },
   {
-    kind: 'loan',
-    loanId: 12_345,
+    kind: 'lease',
+    leaseId: 12_345,
     incarnation,
     shares: [{ account, ratePerSecond: 7.5, burst: 3, tokens: 1.25 }],
   },
@@ -27,11 +27,11 @@
   });
 });
 
-test('a loan with a value that is no number is rejected', () => {
+test('a lease with a value that is no number is rejected', () => {
   // Guards rate-bound: a NaN in a share would pass every comparison of the bucket.
   const broken: PeerMessage = {
-    kind: 'loan',
-    loanId: 1,
+    kind: 'lease',
+    leaseId: 1,
     incarnation,
     shares: [{ account, ratePerSecond: 1, burst: 2, tokens: Number.NaN }],
   };
