Pass over gates that answer nothing, and keep the gate open in a stop

Calls went on to the silent host until its link was declared lost, 1.1 to 1.4 s later. A gate that leaves all calls of a sender without a reply for 0.3 s, or four running times, is passed over while there is another, and tried again after 1 s. 2. The gate of a stopping node closed 1.2 s after the signal although its backend server goes on; it now serves for 2 s of the 2.6 s that a stop takes.

Ruled out: shorter limits of the link's heartbeat, which would break links of slow hosts with all calls on them.

--- a/src/core/placement/choose-gate.ts
+++ b/src/core/placement/choose-gate.ts
@@ -1,7 +1,7 @@
 import type { Instance } from '../directory/instance.js';
 import type { ZoneName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
-import { newGateView, type GateView } from './gate-view.js';
+import { isStalled, newGateView, type GateView } from './gate-view.js';
 
 /** A load that was told longer ago says nothing any more. */
 const LOAD_LIFETIME_MS: Milliseconds = 2000;
@@ -71,7 +71,10 @@
   const { candidates, views, tried, now, random } = options;
   const left = candidates.filter(({ id }) => !tried.has(id));
   const viewOf = (instance: Instance) => views.get(instance.id) ?? newGateView;
-  const rested = left.filter((instance) => viewOf(instance).avoidUntil <= now);
+  const rested = left.filter((instance) => {
+    const view = viewOf(instance);
+    return view.avoidUntil <= now && !isStalled(view, now);
+  });
   const pool = rested.length > 0 ? rested : left;
   const draw = (from: readonly Instance[]): readonly Instance[] => {
     if (from.length <= 2) return from;
--- a/src/core/placement/gate-view.ts
+++ b/src/core/placement/gate-view.ts
@@ -14,6 +14,9 @@
   readonly failures: number;
   /** The gate gets no calls before this instant unless there is no other. */
   readonly avoidUntil: Instant;
+  /** Since when calls wait there without any reply; null when none does. */
+  readonly unansweredSince: Instant | null;
+  readonly sentAt: Instant;
 }
 
 /** What is known of a gate before the first call. */
@@ -24,6 +27,8 @@
   sentSince: 0,
   failures: 0,
   avoidUntil: Number.NEGATIVE_INFINITY,
+  unansweredSince: null,
+  sentAt: Number.NEGATIVE_INFINITY,
 };
 
 /** Share of a new sample in the failures. */
@@ -35,6 +40,17 @@
 /** Time for which a gate that cannot be reached gets no more calls. */
 const UNREACHABLE_PAUSE_MS: Milliseconds = 500;
 
+/**
+ * A gate that answers none of its calls for this time, or for so many running times, is passed
+ * over. A host that lost its power closes no connection, and its silence counts as the loss of its
+ * link only after 1.1 s, in which it would take the calls of a whole service.
+ */
+const STALL_MIN_MS: Milliseconds = 300;
+const STALL_SERVICE_TIMES = 4;
+
+/** A gate that is passed over is tried again after this time without a call. */
+const STALL_RETRY_MS: Milliseconds = 1000;
+
 /** How a call to a gate ended, as far as placement is concerned. */
 export type PlacementResult =
   'answered' | 'server-error' | 'refused' | 'failed' | 'unreachable' | 'abandoned';
@@ -43,10 +59,41 @@
  * Counts a call that is sent.
  *
  * @param view - the view of the gate
+ * @param now - the current instant
  * @returns the next view
  */
-export function recordSent(view: GateView): GateView {
-  return { ...view, outstanding: view.outstanding + 1, sentSince: view.sentSince + 1 };
+export function recordSent(view: GateView, now: Instant): GateView {
+  return {
+    ...view,
+    outstanding: view.outstanding + 1,
+    sentSince: view.sentSince + 1,
+    unansweredSince: view.unansweredSince ?? now,
+    sentAt: now,
+  };
+}
+
+/**
+ * Tells whether a gate leaves its calls without any reply.
+ *
+ * @param view - the view of the gate
+ * @param now - the current instant
+ * @returns whether other gates should get the calls
+ */
+export function isStalled({ unansweredSince, sentAt, load }: GateView, now: Instant): boolean {
+  if (unansweredSince === null || now - sentAt >= STALL_RETRY_MS) return false;
+  const usualMs = (load?.serviceTimeMs ?? 0) * STALL_SERVICE_TIMES;
+  return now - unansweredSince > Math.max(STALL_MIN_MS, usualMs);
+}
+
+/** A reply shows that the gate answers; a caller that gave up shows nothing. */
+function unansweredAfter(
+  view: GateView,
+  result: PlacementResult,
+  hasReplied: boolean,
+  now: Instant,
+): Instant | null {
+  if (hasReplied) return view.outstanding > 1 ? now : null;
+  return result === 'unreachable' ? null : view.unansweredSince;
 }
 
 function pauseOf(result: PlacementResult): Milliseconds {
@@ -88,5 +135,7 @@
     sentSince: load === null ? view.sentSince : 0,
     failures: isJudged ? view.failures + (sample - view.failures) * FAILURE_SHARE : view.failures,
     avoidUntil: Math.max(view.avoidUntil, now + pauseOf(result)),
+    unansweredSince: unansweredAfter(view, result, load !== null, now),
+    sentAt: view.sentAt,
   };
 }
--- a/src/sidecar/entry-task.ts
+++ b/src/sidecar/entry-task.ts
@@ -208,7 +208,8 @@
     const { admitted, tried } = placed;
     const { log, send } = this.#options;
     placed.try(instance);
-    this.#setView(instance, recordSent(this.#viewOf(instance)));
+    const now = this.#options.clock.now();
+    this.#setView(instance, recordSent(this.#viewOf(instance), now));
     if (tried.size > 1) {
       log.write({
         kind: 'decision',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -53,8 +53,12 @@
 /** A peer that cannot read the store learns of a change within this time and a round trip. */
 const STATUS_INTERVAL_MS: Milliseconds = 700;
 
-/** Callers notice within this time that the node is not ready, and the gate serves meanwhile. */
-const LEAVE_DELAY_MS: Milliseconds = 1200;
+/**
+ * The gate serves for this time after the signal. The backend server beside it goes on, and
+ * nothing reaches it from here until the next process is up; the calls that run when the gate
+ * closes have the rest of the shortest stop to end.
+ */
+const LEAVE_DELAY_MS: Milliseconds = 2000;
 
 /** Two questions for readiness, one a second, have been answered with no by then. */
 const MIN_STOP_MS: Milliseconds = 2600;
--- a/test/core/placement/placement.test.ts
+++ b/test/core/placement/placement.test.ts
@@ -3,7 +3,12 @@
 import type { Instance } from '../../../src/core/directory/instance.js';
 import type { GateLoad } from '../../../src/core/exchange/mesh-call.js';
 import { chooseGate } from '../../../src/core/placement/choose-gate.js';
-import { newGateView, recordEnd, type GateView } from '../../../src/core/placement/gate-view.js';
+import {
+  newGateView,
+  recordEnd,
+  recordSent,
+  type GateView,
+} from '../../../src/core/placement/gate-view.js';
 import { nextStep, noSends, type SendResult } from '../../../src/core/placement/next-send.js';
 import { randomFrom } from '../../../standin/process.js';
 
@@ -54,6 +59,48 @@
   return counts;
 }
 
+/** A gate that answered at an instant and got a call then that is still without a reply. */
+function silentSince(now: number, sentAt: number): GateView {
+  const answered = recordEnd(newGateView, 'answered', load({}), now);
+  return recordSent(recordSent(answered, now), sentAt);
+}
+
+test('a gate that leaves its calls without any reply is passed over', () => {
+  // Guards against a host without power that takes the calls of its service for a second.
+  const others = [
+    ['2', view({ busy: 9 })],
+    ['3', view({ busy: 9 })],
+  ] as const;
+  const silent = choices(new Map([['1', silentSince(-400, 0)], ...others]));
+  assert.equal(silent.get('1'), undefined);
+  const lately = choices(new Map([['1', silentSince(-100, 0)], ...others]));
+  assert.ok((lately.get('1') ?? 0) > 0);
+});
+
+test('a silent gate that got no call for a second is tried again', () => {
+  // Guards against a gate that is never used again since a caller gave up before its reply.
+  const others = [
+    ['2', view({ busy: 9 })],
+    ['3', view({ busy: 9 })],
+  ] as const;
+  const rested = choices(new Map([['1', silentSince(-1500, -1200)], ...others]));
+  assert.ok((rested.get('1') ?? 0) > 0);
+});
+
+test('a reply of any call shows that a gate answers', () => {
+  // Guards against gates with long calls that are passed over while they answer others.
+  const waiting = recordSent(recordSent(newGateView, -900), -900);
+  const answering = recordEnd(waiting, 'answered', load({}), 0);
+  const counts = choices(
+    new Map([
+      ['1', recordSent(answering, 5)],
+      ['2', view({ busy: 15 })],
+      ['3', view({ busy: 15 })],
+    ]),
+  );
+  assert.equal(counts.get('1'), 200);
+});
+
 test('gates of the own zone go first while they have room', () => {
   // Guards against bytes between zones that buy nothing.
   const counts = choices(
