Notice an aggregator of quotas that has fallen silent

At 1.0 s a host lost its power and an account went to 3.2 times its usual load. The node on that host added up the quotas; for the 1.4 s until its link counts as lost no totals came, and each of 13 nodes went on with what it had last been told, that the account is calm and any node may use half of its tokens and half of its rate.

A node whose report has no answer after 0.2 s now uses only its own part. The next aggregator gets what the last one did not answer, and tokens told by a new aggregator count only as far as the rate can have brought them since the last total.

Two aggregators at a time would double the reports and are not needed for the bound.

--- a/src/core/quota/quota.ts
+++ b/src/core/quota/quota.ts
@@ -42,6 +42,8 @@
   readonly share: number;
   readonly admitted: number;
   readonly demanded: number;
+  /** Tokens of the whole account as last told; null before. */
+  readonly told: { readonly tokens: number; readonly at: Instant } | null;
 }
 
 /** Quotas by account. */
@@ -67,6 +69,8 @@
   readonly nodes: number;
   /** Whether the aggregator answers; it tells all nodes which accounts exceed their rate. */
   readonly isAggregatorHeard: boolean;
+  /** Whether the last report has waited for its answer longer than answers take. */
+  readonly isReportOverdue: boolean;
 }
 
 function bucketSize({ burst }: QuotaAccount, share: number): number {
@@ -83,6 +87,7 @@
     share,
     admitted: 0,
     demanded: 0,
+    told: null,
   };
 }
 
@@ -109,14 +114,19 @@
   };
 }
 
-/** Tokens that may be used now. */
+/**
+ * Tokens that may be used now. A calm account whose totals do not come any more may have become
+ * busy, and every node would let in what it likes; only the own bucket counts then.
+ */
 function available(
   { division, bucket }: AccountQuota,
   account: QuotaAccount,
+  { isReportOverdue }: QuotaView,
   now: Instant,
 ): number {
   switch (division.kind) {
     case 'calm': {
+      if (isReportOverdue) return bucket;
       const gained = ((now - division.at) / 1000) * account.ratePerSecond * CALM_SHARE;
       return Math.max(bucket, division.allotted + gained);
     }
@@ -158,7 +168,7 @@
   }
   const known = state.get(account.name) ?? startQuota(account, view, now);
   const quota = refresh(known, account, view, now);
-  const tokens = available(quota, account, now);
+  const tokens = available(quota, account, view, now);
   const isAdmitted = tokens >= 1;
   const counted = { ...quota, demanded: quota.demanded + 1 };
   const refillPerSecond = Math.max(0.1, account.ratePerSecond * quota.share);
@@ -194,27 +204,41 @@
   };
 }
 
+/** A new aggregator starts with the whole burst; tokens cannot have grown by more than the rate. */
+function knownTokens(
+  { told }: AccountQuota,
+  { tokens }: Total,
+  { ratePerSecond }: QuotaAccount,
+  now: Instant,
+): number {
+  if (told === null) return tokens;
+  return Math.min(tokens, told.tokens + ((now - told.at) / 1000) * ratePerSecond);
+}
+
 function divide(
   quota: AccountQuota,
   total: Total,
   account: QuotaAccount,
   now: Instant,
 ): AccountQuota {
-  const { tokens, demandPerSecond } = total;
+  const { demandPerSecond } = total;
+  const tokens = knownTokens(quota, total, account, now);
   const share = total.share ?? quota.share;
+  const told = { tokens, at: now };
   // What was admitted since the report is not in the total yet.
   const left = tokens - quota.admitted;
   // The estimate of a small demand is rough, and while half of the burst is left nothing presses.
   const isCalm = demandPerSecond <= account.ratePerSecond || tokens > account.burst / 2;
   if (isCalm && left >= 1) {
     const allotted = Math.max(Math.min(left, UNTOLD_TOKENS), left * Math.max(share, CALM_SHARE));
-    return { ...quota, share, division: { kind: 'calm', allotted, at: now } };
+    return { ...quota, share, told, division: { kind: 'calm', allotted, at: now } };
   }
   // Tokens below half of the burst say that the nodes together have admitted too much.
   const balance = 1 + (tokens - account.burst / 2) / (account.burst + account.ratePerSecond);
   const correction = Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, balance));
   const bucket = Math.min(quota.bucket, Math.max(1, tokens * share));
-  return { ...quota, share: share * correction, bucket, division: { kind: 'shared', at: now } };
+  const division: Division = { kind: 'shared', at: now };
+  return { ...quota, share: share * correction, bucket, told, division };
 }
 
 /**
--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -16,6 +16,13 @@
   type QuotaState,
   type QuotaView,
 } from '../core/quota/quota.js';
+import {
+  emptyLedger,
+  isReportOverdue,
+  noteAnswer,
+  noteReport,
+  type ReportLedger,
+} from '../core/quota/report-ledger.js';
 import type { Total, Usage } from '../core/quota/usage.js';
 
 /** What the quota task needs of its node. */
@@ -59,6 +66,8 @@
 
   #heardAt: Instant = Number.NEGATIVE_INFINITY;
 
+  #ledger: ReportLedger = emptyLedger;
+
   #accounts: ReadonlyMap<AccountName, QuotaAccount> = new Map();
 
   /**
@@ -129,22 +138,30 @@
   #applyTotals(totals: readonly Total[]): void {
     const now = this.#options.clock.now();
     this.#heardAt = now;
+    this.#ledger = noteAnswer(this.#ledger);
     this.#quotas = applyTotals(this.#quotas, totals, this.#accounts, this.#view(now), now);
   }
 
   #view(now: Instant): QuotaView {
     const isAggregatorHeard = now - this.#heardAt < HEARD_LIFETIME_MS;
-    return { nodes: this.#options.nodes(), isAggregatorHeard };
+    return {
+      nodes: this.#options.nodes(),
+      isAggregatorHeard,
+      isReportOverdue: isReportOverdue(this.#ledger, now),
+    };
   }
 
   #report(): void {
     const { node, clock, aggregator, sendUsage, tellAll } = this.#options;
-    const hot = overdrawn(this.#aggregate, this.#accounts, clock.now());
+    const now = clock.now();
+    const hot = overdrawn(this.#aggregate, this.#accounts, now);
     if (hot.length > 0) tellAll(hot);
-    const { state, usages } = takeReport(this.#quotas);
+    const { state, usages: seen } = takeReport(this.#quotas);
     this.#quotas = state;
-    if (usages.length === 0) return;
     const address = aggregator();
+    const { ledger, usages } = noteReport(this.#ledger, address, seen, now);
+    this.#ledger = ledger;
+    if (usages.length === 0) return;
     if (address === null) this.#applyTotals(this.reported(node, usages));
     else sendUsage(address, usages);
   }
--- a/test/core/quota/quota.test.ts
+++ b/test/core/quota/quota.test.ts
@@ -9,6 +9,12 @@
   takeReport,
   type QuotaState,
 } from '../../../src/core/quota/quota.js';
+import {
+  emptyLedger,
+  isReportOverdue,
+  noteAnswer,
+  noteReport,
+} from '../../../src/core/quota/report-ledger.js';
 import { randomFrom } from '../../../standin/process.js';
 
 const NODES = 17;
@@ -32,7 +38,7 @@
   const accounts = new Map([[limits.name, limits]]);
   const nodes: QuotaState[] = Array.from({ length: NODES }, () => emptyQuotas);
   let aggregate = emptyAggregator;
-  const view = { nodes: NODES, isAggregatorHeard: !isCut };
+  const view = { nodes: NODES, isAggregatorHeard: !isCut, isReportOverdue: false };
   const admittedAt: number[] = [];
   let asked = 0;
   let allowed = 0;
@@ -112,3 +118,98 @@
     );
   }
 });
+
+/** Time in which the link to a host without power is not known to be lost. */
+const SILENCE_MS = 1400;
+
+/** Plays an aggregator that falls silent at the instant at which an account becomes busy. */
+function playSilence(limits: QuotaAccount, times: number, silentAt: number): Play {
+  const random = randomFrom(5);
+  const accounts = new Map([[limits.name, limits]]);
+  const nodes = Array.from({ length: NODES }, () => ({ quotas: emptyQuotas, ledger: emptyLedger }));
+  const aggregates = new Map([
+    ['first', emptyAggregator],
+    ['second', emptyAggregator],
+  ]);
+  const admittedAt: number[] = [];
+  let asked = 0;
+  for (let now = 0; now < silentAt + 6000; now += 1) {
+    const address = now < silentAt + SILENCE_MS ? 'first' : 'second';
+    const isSilent = address === 'first' && now >= silentAt;
+    const perSecond = limits.ratePerSecond * (now < silentAt ? 0.75 : times);
+    const viewOf = (ledger: typeof emptyLedger) => ({
+      nodes: NODES,
+      isAggregatorHeard: true,
+      isReportOverdue: isReportOverdue(ledger, now),
+    });
+    if (random() < perSecond / 1000) {
+      const node = nodes[Math.floor(random() * NODES)];
+      if (node !== undefined) {
+        const step = admit(node.quotas, limits, viewOf(node.ledger), now);
+        node.quotas = step.state;
+        asked += 1;
+        if (step.isAdmitted) admittedAt.push(now);
+      }
+    }
+    for (const [at, node] of nodes.entries()) {
+      if (now % REPORT_MS !== (at * 13) % REPORT_MS) continue;
+      const report = takeReport(node.quotas);
+      const { ledger, usages } = noteReport(node.ledger, address, report.usages, now);
+      node.quotas = report.state;
+      node.ledger = ledger;
+      if (isSilent || usages.length === 0) continue;
+      const known = aggregates.get(address) ?? emptyAggregator;
+      const added = addReport(known, String(at), usages, accounts, now);
+      aggregates.set(address, added.state);
+      node.ledger = noteAnswer(ledger);
+      node.quotas = applyTotals(node.quotas, added.totals, accounts, viewOf(node.ledger), now);
+    }
+  }
+  return { asked, allowed: asked, admittedAt };
+}
+
+test('an account that becomes busy while the aggregator is silent stays below its bound', () => {
+  // Guards against nodes that go on with what was told of a calm account, each for itself, and
+  // against a new aggregator that knows nothing of what was let in meanwhile.
+  for (const limits of [account(50, 50), account(145, 145), account(195, 195)]) {
+    for (const times of [3, 5]) {
+      const played = playSilence(limits, times, 2000);
+      assert.ok(
+        worstWindow(played) <= bound(limits),
+        `${limits.ratePerSecond}/s at ${times} times: ${worstWindow(played)} of ${bound(limits)}`,
+      );
+    }
+  }
+});
+
+test('what an aggregator has not answered goes to the next one, and only to that', () => {
+  // Guards against usage that is lost with an aggregator, and against usage that a slow one
+  // counts twice.
+  const usage = { account: 'pulo', admitted: 3, demanded: 4 };
+  const first = noteReport(emptyLedger, 'first', [usage], 0);
+  const again = noteReport(first.ledger, 'first', [usage], 250);
+  assert.deepEqual(again.usages, [usage]);
+  assert.equal(isReportOverdue(again.ledger, 250), true);
+  const moved = noteReport(again.ledger, 'second', [], 500);
+  assert.deepEqual(moved.usages, [{ account: 'pulo', admitted: 6, demanded: 8 }]);
+  assert.equal(isReportOverdue(noteAnswer(moved.ledger), 900), false);
+});
+
+test('a new aggregator that knows of no usage does not give an account its burst again', () => {
+  // Guards against an account that gains with each restart of the aggregator.
+  const limits = account(100, 100);
+  const accounts = new Map([[limits.name, limits]]);
+  const view = { nodes: NODES, isAggregatorHeard: true, isReportOverdue: false };
+  const used = { account: limits.name, tokens: -10, demandPerSecond: 300, share: 0.5 };
+  const fresh = { account: limits.name, tokens: 100, demandPerSecond: 10, share: 0.5 };
+  const told = applyTotals(emptyQuotas, [used], accounts, view, 0);
+  let state = applyTotals(told, [fresh], accounts, view, 250);
+  let admitted = 0;
+  for (let request = 0; request < 100; request += 1) {
+    const step = admit(state, limits, view, 250);
+    state = step.state;
+    admitted += step.isAdmitted ? 1 : 0;
+  }
+  // 250 ms of the rate bring the account from -10 to 15 tokens.
+  assert.ok(admitted <= 15, `${admitted} requests`);
+});
