--- a/src/sidecar/feed-task.ts
+++ b/src/sidecar/feed-task.ts
@@ -99,6 +99,11 @@
     this.#ticker = setInterval(() => this.#tick(), TICK_MS);
   }
 
+  /** @returns where the published values come from */
+  get source(): Source {
+    return this.#source.state.source;
+  }
+
   /**
    * Handles a message.
    *
@@ -156,8 +161,7 @@
   }
 
   #follow(link: MeshLink, revision: number): void {
-    const { clock } = this.#options;
-    const { publications } = this.#options;
+    const { clock, publications } = this.#options;
     this.#followers.set(link, clock.now());
     this.#source.send({ kind: 'followed' });
     const { status } = publications;
@@ -192,11 +196,14 @@
   #chooseReader(): void {
     const { peers, clock } = this.#options;
     const now = clock.now();
-    const isUsable = (address: string): boolean => {
-      const lostAt = this.#lostReaders.get(address) ?? Number.NEGATIVE_INFINITY;
-      return now - lostAt >= LOST_READER_PAUSE_MS && peers.isReachable(address);
-    };
-    const chosen = chooseReader(peers.own, peers.readers, isUsable);
+    this.#lostReaders.forEach((lostAt, address) => {
+      if (now - lostAt >= LOST_READER_PAUSE_MS) this.#lostReaders.delete(address);
+    });
+    const chosen = chooseReader(
+      peers.own,
+      peers.readers,
+      (address) => !this.#lostReaders.has(address) && peers.isReachable(address),
+    );
     if (this.#isChosen(chosen)) return;
     this.#source.send({ kind: 'reader-chosen', reader: chosen });
     this.#askedAt = Number.NEGATIVE_INFINITY;
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -50,6 +50,12 @@
     registers: [this.registry],
   });
 
+  readonly storeReader = new Gauge({
+    name: 'almondhoist_store_reader',
+    help: 'Whether the node reads the store itself (1) or is fed by another (0)',
+    registers: [this.registry],
+  });
+
   readonly links = new Gauge({
     name: 'almondhoist_links',
     help: 'Open links to other nodes',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -404,6 +404,7 @@
   #tellStatus(): void {
     this.#control.tellStatus();
     this.#metrics.links.set(this.#mesh.size);
+    this.#metrics.storeReader.set(this.#control.feed.source.kind === 'store' ? 1 : 0);
     const { pressure, downstreamPressure } = this.#gate.load;
     this.#metrics.pressure.set(Math.max(pressure, downstreamPressure));
   }
