--- a/src/core/publications/source.ts
+++ b/src/core/publications/source.ts
@@ -1,12 +1,12 @@
 import type { Instant, Milliseconds } from '../model/time.js';
-import { step, type Decision } from '../task/decision.js';
 import { rankByRendezvous } from '../routing/rendezvous.js';
+import { step, type Decision } from '../task/decision.js';
 
 /**
- * Followers of one reader at most. A reader sends each of them what it reads, so its share of a
- * core bounds their number; the calls to the store grow with the number of readers.
+ * Nodes of a zone for each of its readers. A reader sends each of its followers what it reads, so
+ * its share of a core bounds their number; the calls to the store grow with the number of readers.
  */
-const FOLLOWERS_MAX = 40;
+const NODES_PER_READER = 40;
 
 /**
  * A feed that is silent for this time is not trusted. A reader sends after each answer of the
@@ -132,7 +132,7 @@
   ranked: readonly string[],
   isUsable: (address: string) => boolean,
 ): ReaderChoice {
-  const count = Math.max(1, Math.ceil(ranked.length / FOLLOWERS_MAX));
+  const count = Math.max(1, Math.ceil(ranked.length / NODES_PER_READER));
   const readers = ranked.filter((address) => address === own || isUsable(address)).slice(0, count);
   const [reader = own] = readers.includes(own) ? [own] : rankByRendezvous(own, readers);
   return reader === own
