Assert two promises in the gate of the platform path

The gate now asserts on each start that a cold backend server has had no more than its rate in the last second, and that no call starts twice; a failure is a log line of its own and a counter. Played loads and tests of the gate end with an error at a violation; a test shows that the assertion of the rate can fail. Still without an assertion here: not-run, rate-bound, zone-out, leaving, configuration-order.

--- a/src/core/dispatch/cold-rate.ts
+++ b/src/core/dispatch/cold-rate.ts
@@ -1,4 +1,5 @@
 import type { Instant, Milliseconds } from '../model/time.js';
+import { assertPromise, type Violation } from '../promises/violation.js';
 import type { Running, Waiting } from './dispatch-state.js';
 
 /**
@@ -105,3 +106,16 @@
   );
   return Math.min(forAll, reserved);
 }
+
+/**
+ * Asserts that a cold backend server gets no more than it bears.
+ *
+ * @param cold - starts and rate
+ * @param now - the current instant
+ * @returns one violation when it got more in the last second
+ */
+export function assertColdRate(cold: ColdStarts, now: Instant): readonly Violation[] {
+  const { length } = recentStarts(cold, now);
+  const most = Math.max(1, Math.floor(cold.coldRatePerSecond));
+  return assertPromise('cold-start', length <= most, () => `${length} starts in 1 s, not ${most}`);
+}
--- a/src/core/dispatch/dispatch-state.ts
+++ b/src/core/dispatch/dispatch-state.ts
@@ -1,6 +1,7 @@
 import type { CodeName } from '../errors/registry.js';
 import type { Rank } from '../exchange/mesh-call.js';
 import type { Instant, Milliseconds } from '../model/time.js';
+import type { Violation } from '../promises/violation.js';
 import type { PressureView } from '../shedding/pressure-view.js';
 
 /** Number of a call at its gate. */
@@ -77,4 +78,5 @@
       readonly ticket: TicketId;
       readonly code: CodeName;
       readonly retryAfterMs: Milliseconds;
-    };
+    }
+  | Violation;
--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -2,7 +2,7 @@
 import type { Instant, Milliseconds } from '../model/time.js';
 import { addPressure, noPressure, pressureNow } from '../shedding/pressure-view.js';
 import { step, type Decision, type Step } from '../task/decision.js';
-import { coldWait, hasColdRoom, isColdRootDue, recentStarts } from './cold-rate.js';
+import { assertColdRate, coldWait, hasColdRoom, isColdRootDue, recentStarts } from './cold-rate.js';
 import type {
   DispatchEffect,
   DispatchMessage,
@@ -139,15 +139,17 @@
   if (waiting === undefined) return step(state);
   const { ticket, rank } = waiting;
   const started: Running = { isNested: rank.isNested, startedAt: now };
-  return step(
-    {
-      ...state,
-      queue: state.queue.filter((_, at) => at !== index),
-      running: new Map(state.running).set(ticket, started),
-      runningNested: state.runningNested + (rank.isNested ? 1 : 0),
-      starts: state.condition.kind === 'cold' ? [...recentStarts(state, now), started] : [],
-    },
+  const next: DispatchState = {
+    ...state,
+    queue: state.queue.filter((_, at) => at !== index),
+    running: new Map(state.running).set(ticket, started),
+    runningNested: state.runningNested + (rank.isNested ? 1 : 0),
+    starts: state.condition.kind === 'cold' ? [...recentStarts(state, now), started] : [],
+  };
+  return step<DispatchState, DispatchEffect>(
+    next,
     { kind: 'start', ticket },
+    ...assertColdRate(next, now),
   );
 }
 
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -18,6 +18,8 @@
 import type { Log } from '../core/logs/log-entry.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { ServiceProfile } from '../core/policy/policy.js';
+import { reportAll, type Report } from '../core/promises/report.js';
+import { assertPromise } from '../core/promises/violation.js';
 import { Task } from '../core/task/task.js';
 import { BackendExchange, type ExchangeEnd } from './backend-exchange.js';
 import { BackendConnections, type BackendConnection } from './backend-connections.js';
@@ -35,6 +37,8 @@
   readonly crashed: (fingerprints: readonly string[]) => void;
   readonly completed: (fingerprint: string) => void;
   readonly answered: (code: CodeName) => void;
+  /** An assertion of a promise failed. */
+  readonly violated: Report;
 }
 
 /** A call at the gate, from its arrival to its reply. */
@@ -250,10 +254,16 @@
           wasOffered: false,
         });
         break;
+      case 'violation':
+        this.#options.violated(effect);
+        break;
     }
   }
 
   #start(ticket: TicketId): void {
+    const isFirst = !this.#runs.has(ticket);
+    const detail = () => `call ${ticket} starts a second time`;
+    reportAll(assertPromise('at-most-once', isFirst, detail), this.#options.violated);
     const found = this.#tickets.get(ticket);
     if (found === undefined) {
       this.#task.send({ kind: 'ended', ticket, end: 'failed' });
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -37,6 +37,13 @@
     registers: [this.registry],
   });
 
+  readonly promisesBroken = new Counter({
+    name: 'almondhoist_promise_broken_total',
+    help: 'Assertions of promises that failed',
+    labelNames: ['promise'],
+    registers: [this.registry],
+  });
+
   readonly duration = new Histogram({
     name: 'almondhoist_request_duration_seconds',
     help: 'Time from the arrival of a request to its answer at the entry',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -304,6 +304,10 @@
       crashed: (fingerprints) => this.#crashes.crashed(fingerprints),
       completed: (fingerprint) => this.#crashes.send({ kind: 'completed', fingerprint }),
       answered: (code) => this.#metrics.gateAnswers.inc({ code }),
+      violated: (violation) => {
+        this.#metrics.promisesBroken.inc({ promise: violation.promise });
+        this.#log.write(violation);
+      },
     });
   }
 
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { assertColdRate } from '../../../src/core/dispatch/cold-rate.js';
 import { decideDispatch, startDispatch } from '../../../src/core/dispatch/dispatch.js';
 import type {
   DispatchEffect,
@@ -45,6 +46,7 @@
   }
 
   #record(effect: DispatchEffect, now: number): void {
+    if (effect.kind === 'violation') throw new Error(`${effect.promise}: ${effect.detail}`);
     if (effect.kind === 'refuse') {
       this.refused.push(effect.ticket);
       return;
@@ -182,3 +184,11 @@
   assert.equal(shed(100, 5), 0);
   assert.ok(shed(100, 80) > 0);
 });
+
+test('the assertion sees a cold backend server that gets more than it bears', () => {
+  // Guards against an assertion that cannot fail.
+  const starts = Array.from({ length: 26 }, (_, at) => ({ isNested: false, startedAt: at * 30 }));
+  const [violation] = assertColdRate({ starts, coldRatePerSecond: 25 }, 800);
+  assert.equal(violation?.promise, 'cold-start');
+  assert.deepEqual(assertColdRate({ starts: starts.slice(1), coldRatePerSecond: 25 }, 800), []);
+});
--- a/test/core/shedding/graph-node.ts
+++ b/test/core/shedding/graph-node.ts
@@ -122,8 +122,16 @@
   }
 
   #perform(effect: DispatchEffect): void {
-    if (effect.kind === 'refuse') this.#settle(effect.ticket, REFUSED);
-    else this.#run(effect.ticket);
+    switch (effect.kind) {
+      case 'refuse':
+        this.#settle(effect.ticket, REFUSED);
+        break;
+      case 'start':
+        this.#run(effect.ticket);
+        break;
+      case 'violation':
+        throw new Error(`${effect.promise}: ${effect.detail}`);
+    }
   }
 
   #run(ticket: TicketId): void {
