Give the fleets of the tests fixed ports, and close hosts that fail to start

A fleet has addresses of its own, so its nodes now use fixed ports below the range that the system gives out. The hang: when one host could not start, the others were never closed and kept the process alive; hosts are now closed whether or not all of them start.

--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -1,6 +1,3 @@
-import { createServer, type Server } from 'node:http';
-import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
@@ -9,6 +6,7 @@
 import type { SidecarSettings } from '../../src/core/settings/sidecar-settings.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
 import { Sidecar } from '../../src/sidecar/sidecar.js';
+import { listenOn } from '../../standin/host-process.js';
 import { PlatformBackend } from '../../standin/platform-backend.js';
 import { PlatformStore } from '../../standin/platform-store.js';
 
@@ -137,24 +135,20 @@
   }
 }
 
-async function listenOn(server: Server, host: string, port: number): Promise<number> {
-  server.listen(port, host);
-  await once(server, 'listening');
-  return (server.address() as AddressInfo).port;
-}
+/**
+ * Ports of the nodes of every fleet. The system gives out ports from 32768 on; one of those that
+ * was free a moment ago is at times given to the next socket of the same address.
+ */
+const CALLER_PORT = 7401;
+const PEER_PORT = 7402;
 
-/** A port that is free now; other processes use other addresses of the loopback range. */
-async function freePort(ip: string): Promise<number> {
-  const server = createServer();
-  const port = await listenOn(server, ip, 0);
-  server.close();
-  await once(server, 'close');
-  return port;
-}
+const SUBNETS = 250;
+let fleets = 0;
 
-/** Addresses of the loopback range that no other test process uses. */
+/** Addresses of the loopback range that no other fleet of a test process uses. */
 function ownSubnet(): string {
-  return `127.${20 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
+  fleets += 1;
+  return `127.${20 + (process.pid % 200)}.${1 + (fleets % SUBNETS)}`;
 }
 
 /**
@@ -168,8 +162,7 @@
 export async function openFleet(context: TestContext, options: FleetOptions): Promise<Fleet> {
   const subnet = ownSubnet();
   const store = new PlatformStore();
-  const storePort = await listenOn(store.server, `${subnet}.250`, 0);
-  const peerPort = await freePort(`${subnet}.1`);
+  const storePort = await listenOn(store.server, `${subnet}.250`);
   store.put('op/config', options.policy ?? POLICY);
   const agent = new Agent({ connections: 50 });
   context.after(() => agent.destroy());
@@ -194,22 +187,33 @@
     });
   };
 
+  // A host that cannot start must not keep the others, and with them the process, alive.
+  const opened: Pick<FleetHost, 'backend' | 'node'>[] = [];
+  context.after(() =>
+    Promise.all(
+      opened.map(({ backend, node }) => {
+        backend.server.close();
+        backend.server.closeAllConnections();
+        return node.stop();
+      }),
+    ),
+  );
+
   const openHost = async (
     { service, zone }: FleetOptions['hosts'][number],
     index: number,
   ): Promise<FleetHost> => {
     const ip = `${subnet}.${index + 1}`;
     const backend = new PlatformBackend(`i-${index + 1}`);
-    const backendPort = await listenOn(backend.server, ip, 0);
-    const callerPort = await freePort(ip);
+    const backendPort = await listenOn(backend.server, ip);
     const log: LogEntry[] = [];
     const settings: SidecarSettings = {
       node: `node-${index + 1}`,
       ip,
       zone,
       service,
-      callerAddress: { host: ip, port: callerPort },
-      peerAddress: { host: ip, port: peerPort },
+      callerAddress: { host: ip, port: CALLER_PORT },
+      peerAddress: { host: ip, port: PEER_PORT },
       readyAddress: { host: ip, port: 0 },
       backendAddress: { host: ip, port: backendPort },
       storeAddress: { host: `${subnet}.250`, port: storePort },
@@ -228,6 +232,7 @@
       log: { write: (entry) => log.push(entry), flush: () => {} },
       ...platform,
     });
+    opened.push({ backend, node });
     const started = await node.start();
     if (started.isErr()) throw new Error(started.error.code);
     return {
@@ -238,20 +243,11 @@
       backend,
       settings,
       log,
-      url: `http://${ip}:${callerPort}`,
+      url: `http://${ip}:${CALLER_PORT}`,
     };
   };
 
   const hosts = await Promise.all(options.hosts.map(openHost));
-  context.after(() =>
-    Promise.all(
-      hosts.map(({ backend, node }) => {
-        backend.server.close();
-        backend.server.closeAllConnections();
-        return node.stop();
-      }),
-    ),
-  );
   hosts.forEach((host) => register(host));
   await until('the directory of all hosts', () =>
     hosts.every(({ node }) => node.knownBackendServers === hosts.length && node.isServing),
