Log how long a report of usage has waited when a quota refuses a request

The refusal line lacked one input of the decision since nodes use only their own part of a quota while the aggregator is silent.

--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -107,10 +107,12 @@
     if (step.isAdmitted) return null;
     const { division, tokens, retryAfterMs } = step;
     const toldMs = division.kind === 'untold' ? -1 : Math.round(now - division.at);
+    const { since } = this.#ledger;
     const details = {
       account: account.name,
       division: division.kind,
       toldMs,
+      unansweredMs: since === null ? 0 : Math.round(now - since),
       tokens: Math.round(tokens * 100) / 100,
     };
     return { retryAfterMs, details };
