Let removals count at once where the view of either node was never broken

A node that is fed judged removals by its reader alone. A reader that the store had turned away is unsettled for 2.2 s after its return, and its followers held every removal back for 2.2 s, although their own view was never broken and their gates have to close within 2 s.

A removal from a feed now counts at once when the sender or the receiver is settled, as for other changes that peers pass on. Entries lapse only in outages of more than 4.5 s, which every node notices by the silence of its feed.

--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -122,11 +122,11 @@
         void this.#read();
         break;
       case 'peer-changes':
-        this.#receive(message, message.isSettled || this.isSettled);
+        this.#receive(message);
         break;
       case 'fed':
         this.#regain();
-        this.#receive(message, message.isSettled);
+        this.#receive(message);
         break;
     }
   }
@@ -147,9 +147,14 @@
     return changesAfter(this.#mirror, revision);
   }
 
-  #receive({ changes, revision }: PublishedChanges, isSettled: boolean): void {
+  /**
+   * Applies what another node has read. Its removals count at once when the view of either node was
+   * not broken lately: entries lapse only in outages that are long enough for every node to notice.
+   */
+  #receive({ changes, revision, isSettled }: PublishedChanges): void {
     const now = this.#options.clock.now();
-    this.#apply(applyChanges(this.#mirror, changes, revision, now), isSettled);
+    const next = applyChanges(this.#mirror, changes, revision, now);
+    this.#apply(next, isSettled || this.isSettled);
   }
 
   get #isNeeded(): boolean {
