Keep one description of limits and services for the stand-ins

Cause: reading the change as a newcomer. The limits of callers and the items of services stood three times, in the demo, the process soak and the fleet of the tests; they stand in standin/platform-policy.ts now. The account of the process soak was written twice. ControlPath repeated a view that its policy task has.

Read and left: the other listed pairs are equal in shape only (constants, unions).

No behaviour changes: no decision, bound or check is touched.

--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import { HostProcess, listenOn } from '../standin/host-process.js';
+import { CALLER_LIMITS, serviceItem } from '../standin/platform-policy.js';
 import { PlatformStore } from '../standin/platform-store.js';
 
 const SUBNET = '127.77.1';
@@ -30,15 +31,8 @@
     service: 'stock',
     attempts: 2,
   })),
-  services: [
-    { name: 'stock', healthPath: '/healthz', maxConnections: 100, warmup: '3s', warmupPerS: 25 },
-  ],
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_000_000,
-    headerTimeout: '3s',
-    idleTimeout: '15s',
-  },
+  services: [serviceItem('stock')],
+  limits: CALLER_LIMITS,
   tenants: [{ name: 'paisley', apiKeys: [KEY], priority: 0, ratePerS: 100, burst: 100 }],
 };
 
--- a/soak/processes/process-fleet.ts
+++ b/soak/processes/process-fleet.ts
@@ -5,10 +5,11 @@
 import { Agent, request } from 'undici';
 import { HostProcess, listenOn } from '../../standin/host-process.js';
 import type { PlatformRun } from '../../standin/platform-backend.js';
+import { CALLER_LIMITS, serviceItem } from '../../standin/platform-policy.js';
 import { PlatformStore } from '../../standin/platform-store.js';
 import type { Random } from '../../standin/process.js';
 import type { Fault } from './fault.js';
-import { ROUTE_TIMEOUT_MS, type Observation } from './observation.js';
+import { ACCOUNT, ROUTE_TIMEOUT_MS, type Observation } from './observation.js';
 
 /** Zone and service of each host. */
 const HOSTS = [
@@ -58,20 +59,9 @@
       routeOf('order', 'unsafe', 'shop'),
       routeOf('peek', 'safe', 'stock', true),
     ],
-    services: ['shop', 'stock'].map((name) => ({
-      name,
-      healthPath: '/healthz',
-      maxConnections: 100,
-      warmup: `${WARM_UP_MS}ms`,
-      warmupPerS: 25,
-    })),
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000_000,
-      headerTimeout: '3s',
-      idleTimeout: '15s',
-    },
-    tenants: [{ name: 'paisley', apiKeys, priority: 0, ratePerS: 200, burst: 200 }],
+    services: ['shop', 'stock'].map((name) => serviceItem(name, `${WARM_UP_MS}ms`)),
+    limits: CALLER_LIMITS,
+    tenants: [{ name: ACCOUNT, apiKeys, priority: 0, ratePerS: 200, burst: 200 }],
   };
 }
 
@@ -243,7 +233,7 @@
     );
   }
 
-  /** Starts a node again once it has ended; a second start at the same time would find its port. */
+  /** Starts a node again once it has ended; its port is in use until then. */
   async #restart(host: HostProcess): Promise<void> {
     await host.ended();
     host.start();
--- a/src/sidecar/control-path.ts
+++ b/src/sidecar/control-path.ts
@@ -3,7 +3,6 @@
 import type { MeshFrame } from '../core/exchange/mesh-frame.js';
 import type { Clock } from '../core/model/time.js';
 import type { Policy } from '../core/policy/policy.js';
-import type { PolicyLookup } from '../core/policy/policy-lookup.js';
 import type { FactReader } from '../core/publications/interpretation.js';
 import type { StoreReader } from '../core/publications/store-reply.js';
 import { FeedTask } from './feed-task.js';
@@ -40,7 +39,8 @@
 
   readonly feed: FeedTask;
 
-  readonly #policy = new PolicyTask();
+  /** Policy in force, and the choices that its split routes have made. */
+  readonly policy = new PolicyTask();
 
   #directory: Directory = emptyDirectory;
 
@@ -63,16 +63,6 @@
     this.feed = new FeedTask({ clock, peers, tell, report, publications: this.publications });
   }
 
-  /** @returns the tables of the policy in force, or null before the first one */
-  get lookup(): PolicyLookup | null {
-    return this.#policy.lookup;
-  }
-
-  /** @returns the policy in force and the choices that its splits have made */
-  get policy(): PolicyTask {
-    return this.#policy;
-  }
-
   /** @returns backend servers and zones as far as they are known */
   get directory(): Directory {
     return this.#directory;
@@ -92,7 +82,7 @@
   /** Tells the neighbours what is known here, and the seeds while nothing is. */
   tellStatus(): void {
     const { peers, seeds, tell } = this.#options;
-    const asked = this.lookup === null ? seeds() : [];
+    const asked = this.policy.lookup === null ? seeds() : [];
     const { status } = this.publications;
     [...peers.neighbours, ...asked].forEach((address) => {
       tell(address, { kind: 'status', ...status });
@@ -108,7 +98,7 @@
     const { peers, report, onEvent } = this.#options;
     this.#directory = directory;
     peers.update(directory);
-    if (policy !== null && this.#policy.apply(policy)) {
+    if (policy !== null && this.policy.apply(policy)) {
       onEvent({ kind: 'policy-applied', policy });
       const { revision } = this.publications.status;
       report('policyApplied', { version: policy.version, revision });
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -176,7 +176,7 @@
 
   /** @returns whether the node takes new work */
   get isReady(): boolean {
-    return this.#control.lookup !== null && !this.#isStopping;
+    return this.#control.policy.lookup !== null && !this.#isStopping;
   }
 
   /** @returns whether the own backend server is known and takes requests */
@@ -320,7 +320,7 @@
       zone: this.#settings.zone,
       origin: this.#settings.service,
       view: {
-        lookup: () => this.#control.lookup,
+        lookup: () => this.#control.policy.lookup,
         isQuarantined: (fingerprint) => this.#crashes.isQuarantined(fingerprint),
         spendQuota: (account) => this.#quota.spend(account),
         limitLoad: (route, rank) => this.#load.limit({ route, rank }),
@@ -394,7 +394,7 @@
 
   #updateGate(): void {
     const own = instanceAt(this.#control.directory, this.#backendAddress);
-    const services = this.#control.lookup?.services;
+    const services = this.#control.policy.lookup?.services;
     const profile = own === null ? null : (services?.get(own.service) ?? null);
     this.#gate.update(own, profile, this.#closedReason(own));
   }
--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -8,6 +8,7 @@
 import { Sidecar } from '../../src/sidecar/sidecar.js';
 import { listenOn } from '../../standin/host-process.js';
 import { PlatformBackend } from '../../standin/platform-backend.js';
+import { CALLER_LIMITS, serviceItem } from '../../standin/platform-policy.js';
 import { PlatformStore } from '../../standin/platform-store.js';
 
 /** One host of the fleet: a node and its backend server. */
@@ -105,19 +106,8 @@
       public: true,
     },
   ],
-  services: ['stock', 'desk'].map((name) => ({
-    name,
-    healthPath: '/healthz',
-    maxConnections: 100,
-    warmup: '3s',
-    warmupPerS: 25,
-  })),
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_000_000,
-    headerTimeout: '3s',
-    idleTimeout: '15s',
-  },
+  services: ['stock', 'desk'].map((name) => serviceItem(name)),
+  limits: CALLER_LIMITS,
   tenants: [{ name: 'pulo', apiKeys: [KEY], priority: 1, ratePerS: 1000, burst: 1000 }],
 };
 
