Log pauses of the process and calls that are cancelled at the gate

The watch that found suspended hosts now also finds pauses of the process alone, by a late check, and writes [4214] for both; a cancelled call in the queue of a gate gets the line [2115].

Before: a suspension only caused a health check, without a line. No decision changes.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -512,6 +512,12 @@
     message: 'published values are read from {source}, starting at revision {revision}',
     hint: 'Nothing to do; a node that receives no values from the reading node reads the store itself.',
   },
+  processPaused: {
+    number: 4214,
+    title: 'Process paused',
+    message: 'the process handled no events for {pausedMs} ms ({kind})',
+    hint: 'Check the load of the host if this recurs.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -209,6 +209,7 @@
     const run = this.#runningCalls.get(callId);
     if (run === undefined) {
       this.#removePending(callId);
+      this.#logDecision(found, null, 'cancelled', 0);
       this.#task.send({ kind: 'cancelled', callId });
     } else if (found.call.repeatability === 'idempotent') {
       run.exchange.abort('cancelledRunning');
@@ -376,27 +377,37 @@
     const run = this.#runningCalls.get(callId);
     const found = this.#removePending(callId);
     if (found === null) return;
-    const now = this.#options.clock.now();
     const code = outcome.kind === 'answered' ? 'ok' : outcome.code;
     this.#options.onReply(code);
+    const status = outcome.kind === 'answered' ? outcome.status : 0;
+    this.#logDecision(found, run ?? null, code, status);
+    found.reply({ outcome, load: this.load });
+  }
+
+  #logDecision(
+    { call, arrivedAt }: PendingCall,
+    run: RunningCall | null,
+    code: CodeName,
+    status: number,
+  ): void {
+    const now = this.#options.clock.now();
     const { running, queue, condition } = this.#task.state;
     this.#options.log.write({
       kind: 'decision',
       stage: 'gate',
-      requestId: found.call.requestId,
+      requestId: call.requestId,
       code,
       details: {
-        instance: found.call.instance,
-        status: outcome.kind === 'answered' ? outcome.status : 0,
-        tookMs: Math.round(now - found.arrivedAt),
-        ranMs: run === undefined ? 0 : Math.round(now - run.startedAt),
+        instance: call.instance,
+        status,
+        tookMs: Math.round(now - arrivedAt),
+        ranMs: run === null ? 0 : Math.round(now - run.startedAt),
         running: running.size,
         queued: queue.length,
         limit: dispatchLimit(this.#task.state),
         condition: condition.kind,
       },
     });
-    found.reply({ outcome, load: this.load });
   }
 
   /**
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -23,13 +23,13 @@
 import { GateServer } from './gate-server.js';
 import { LoadTask } from './load-task.js';
 import { MeshTask, type MeshEvent } from './mesh-task.js';
+import { PauseWatch, type Pause } from './pause-watch.js';
 import { PeerTable } from './peer-table.js';
 import { QuotaTask } from './quota-task.js';
 import { createReadyServer, type ReadyPaths } from './ready-server.js';
 import { RequestListener } from './request-listener.js';
 import { RetryTask } from './retry-task.js';
 import { SidecarMetrics } from './sidecar-metrics.js';
-import { watchSuspension } from './suspension-watch.js';
 
 /** External dependencies of a node on the platform. */
 export interface SidecarDependencies {
@@ -111,7 +111,9 @@
 
   readonly #readyServer;
 
-  readonly #timers: readonly NodeJS.Timeout[];
+  readonly #pauseWatch: PauseWatch;
+
+  readonly #statusTimer: NodeJS.Timeout;
 
   #isStopping = false;
 
@@ -146,6 +148,11 @@
     });
     this.#crashTask = this.#createCrashTask();
     this.#quotaTask = this.#createQuotaTask();
+    this.#pauseWatch = new PauseWatch({
+      clock,
+      timeOfDay: dependencies.timeOfDay,
+      onPause: (pause) => this.#handlePause(pause),
+    });
     this.#gate = this.#createGate();
     this.#entry = this.#createEntry();
     this.#requestListener = new RequestListener({
@@ -171,15 +178,7 @@
       () => this.isReady,
       this.#metrics.registry,
     );
-    this.#timers = [
-      setInterval(() => this.#updateStatus(), STATUS_INTERVAL_MS),
-      // The backend server may have been replaced while the host was suspended.
-      watchSuspension({
-        clock,
-        timeOfDay: dependencies.timeOfDay,
-        onResume: () => this.#gate.recheck('the host was suspended'),
-      }),
-    ];
+    this.#statusTimer = setInterval(() => this.#updateStatus(), STATUS_INTERVAL_MS);
   }
 
   /** @returns whether the node accepts new requests */
@@ -270,8 +269,10 @@
   }
 
   async #close(): Promise<void> {
-    this.#timers.forEach((timer) => clearInterval(timer));
-    [this.#controlPath, this.#quotaTask, this.#crashTask].forEach((task) => task.close());
+    clearInterval(this.#statusTimer);
+    [this.#pauseWatch, this.#controlPath, this.#quotaTask, this.#crashTask].forEach((task) =>
+      task.close(),
+    );
     [this.#requestListener.server, this.#readyServer].forEach((server) => {
       server.close();
       server.closeAllConnections();
@@ -286,6 +287,12 @@
     this.#log.write({ kind: 'event', code, details });
   };
 
+  #handlePause({ kind, pausedMs }: Pause): void {
+    this.#reportEvent('processPaused', { kind, pausedMs: Math.round(pausedMs) });
+    // The backend server may have been replaced while the host was suspended.
+    if (kind === 'suspended') this.#gate.recheck('the host was suspended');
+  }
+
   #createCrashTask(): CrashTask {
     const { node, zone } = this.#settings;
     return new CrashTask({
