--- /dev/null
+++ b/test/sidecar/caller-disconnect.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { httpDialect } from '../../platform/http-dialect.js';
+import type { IncomingRequest } from '../../src/core/exchange/incoming-request.js';
+import type { MeshOutcome } from '../../src/core/exchange/mesh-call.js';
+import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
+import type { Exchange } from '../../src/sidecar/entry-task.js';
+import { RequestListener } from '../../src/sidecar/request-listener.js';
+import { listenOn } from '../../standin/host-process.js';
+import { waitFor } from './fleet.js';
+
+/** Front end whose requests stay without an answer. */
+interface SilentFrontEnd {
+  readonly port: number;
+  readonly received: readonly string[];
+  readonly cancelled: readonly string[];
+}
+
+async function startSilentFrontEnd(context: TestContext): Promise<SilentFrontEnd> {
+  const received: string[] = [];
+  const cancelled: string[] = [];
+  const handle = ({ requestId }: IncomingRequest): Exchange => {
+    received.push(requestId ?? '');
+    return {
+      outcome: new Promise<MeshOutcome>(() => {}),
+      cancel: () => cancelled.push(requestId ?? ''),
+    };
+  };
+  const listener = new RequestListener({
+    clock: monotonicClock,
+    dialect: httpDialect,
+    maxBufferedBytes: 1_000_000,
+    handle,
+    isStopping: () => false,
+    onUnreadRefusal: () => {},
+  });
+  const port = await listenOn(listener.server, '127.0.0.1');
+  context.after(() => {
+    listener.server.close();
+    listener.server.closeAllConnections();
+  });
+  return { port, received, cancelled };
+}
+
+function requestText(id: string): string {
+  return `GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${id}\r\n\r\n`;
+}
+
+for (const how of ['closed', 'reset', 'half-closed'] as const) {
+  test(`all requests of a connection that is ${how} are cancelled`, { todo: true }, async (t) => {
+    // Guards against running requests whose responses have no recipient any more.
+    const { port, received, cancelled } = await startSilentFrontEnd(t);
+    const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+    t.after(() => socket.destroy());
+    await once(socket, 'connect');
+    socket.write(requestText('a1') + requestText('a2'));
+    await waitFor('the requests', () => received.length === 2);
+    if (how === 'closed') socket.destroy();
+    else if (how === 'reset') socket.resetAndDestroy();
+    else socket.end();
+    await waitFor('the cancellations', () => cancelled.length === 2);
+    assert.deepEqual([...cancelled].sort(), ['a1', 'a2']);
+  });
+}
+
+test(
+  'a request whose connection was closed before it was read is not handled',
+  { todo: true },
+  async (t) => {
+    // Guards against running requests that waited unread in a busy process until their callers left.
+    const { port, received, cancelled } = await startSilentFrontEnd(t);
+    const socket = connect({ port, host: '127.0.0.1' });
+    await once(socket, 'connect');
+    await sleep(20);
+    socket.end(requestText('b1'));
+    await sleep(100);
+    assert.deepEqual(received.length, cancelled.length);
+    assert.deepEqual(received, []);
+  },
+);
