--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -63,6 +63,12 @@
 
   healthChecks = 0;
 
+  /** Requests per second that the backend server states to take; null states no limit. */
+  statedLimit: string | null = null;
+
+  /** Whether the backend server states in its answers that it leaves. */
+  isLeaving = false;
+
   /** Idle time after which the next request on a connection resets it; null never resets. */
   idleResetAfterMs: number | null = null;
 
@@ -79,6 +85,14 @@
     this.server.keepAliveTimeout = 60_000;
   }
 
+  /** Headers by which the backend server states its condition in each of its answers. */
+  get #conditionHeaders(): Readonly<Record<string, string>> {
+    return {
+      ...(this.statedLimit === null ? {} : { 'Server-Limit': this.statedLimit }),
+      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}),
+    };
+  }
+
   /** Checks whether the connection exceeded its idle time, and records the current request. */
   #isIdleTooLong({ socket }: IncomingMessage): boolean {
     const now = performance.now();
@@ -115,7 +129,13 @@
     };
     const fault = this.selectFault(received);
     if (fault === 'shed') {
-      response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': received.id }).end();
+      response
+        .writeHead(503, {
+          'Not-Executed': '1',
+          'Attempt-Id': received.id,
+          ...this.#conditionHeaders,
+        })
+        .end();
       return;
     }
     await this.#runRequest(received, fault, response);
@@ -149,7 +169,7 @@
     switch (fault) {
       case 'none':
       case 'shed':
-        response.writeHead(status, head).end(ANSWER_BODY);
+        response.writeHead(status, { ...head, ...this.#conditionHeaders }).end(ANSWER_BODY);
         break;
       case 'reset':
         socket?.resetAndDestroy();
--- a/test/platform/wire-words.test.ts
+++ b/test/platform/wire-words.test.ts
@@ -12,6 +12,8 @@
   'caller-service',
   'response-signature',
   'not-executed',
+  'server-limit',
+  'server-leaving',
   'warmup-ms',
   'kv-key',
   'kv-range',
