--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -65,6 +65,40 @@
   assert.equal(read({ key: 'other/key', revision: 1, text: '{}' }), null);
 });
 
+const DEPTH = 200_000;
+const DEEP = `${'['.repeat(DEPTH)}${']'.repeat(DEPTH)}`;
+const ENTRY = JSON.stringify({
+  address: '10.0.0.1:80',
+  born: 1,
+  info: { service: 'stock', zone: 'a', slots: 3 },
+  status: { state: 'ready', warmupLeft: '0ms' },
+});
+
+const ODD_ENTRIES: Readonly<Record<string, string>> = {
+  'nested too deeply': DEEP,
+  'with a deeply nested address': ENTRY.replace('"10.0.0.1:80"', DEEP),
+  'with deeply nested details': ENTRY.replace('{"service":"stock","zone":"a","slots":3}', DEEP),
+  'with more slots than a number holds': ENTRY.replace('"slots":3', '"slots":1e999'),
+  'with negative slots': ENTRY.replace('"slots":3', '"slots":-3'),
+  'with a start that a number does not hold': ENTRY.replace('"born":1', '"born":1e400'),
+  'with a warm-up that a number does not hold': ENTRY.replace('0ms', `${'9'.repeat(400)}s`),
+  'with a port out of range': ENTRY.replace(':80', ':99999'),
+  'with port 0': ENTRY.replace(':80', ':0'),
+  'without a port': ENTRY.replace(':80', ''),
+  'with a name for an address': ENTRY.replace('10.0.0.1', 'a b'),
+};
+
+for (const [name, text] of Object.entries(ODD_ENTRIES)) {
+  test(`an entry ${name} is reported briefly and names no backend server`, () => {
+    // Guards against one odd entry of another writer that ends the node or stops its directory.
+    const reasons: string[] = [];
+    const decode = createValueDecoder((_key, reason) => reasons.push(reason));
+    assert.equal(decode({ key: 'servers/odd', revision: 1, text }), null);
+    assert.equal(reasons.length, 1);
+    assert.ok(reasons.every(({ length }) => length <= 300));
+  });
+}
+
 test('forged headers, the API key and hop-by-hop headers of a request are not forwarded', () => {
   // Guards against a caller that impersonates another account or service.
   const head = httpDialect.readRequest({
--- a/test/sidecar/request-path.test.ts
+++ b/test/sidecar/request-path.test.ts
@@ -158,3 +158,27 @@
   await sleep(300);
   assert.equal(await order('i4'), 200);
 });
+
+test('nodes follow the directory beside odd entries of another writer', async (t) => {
+  // Guards against a node that ends, or stops to follow changes, because of one odd entry.
+  const fleet = await startFleet(t, { hosts: [{ service: 'desk', zone: 'a' }, ...TWO_HOSTS] });
+  const [desk, first, second] = fleet.hosts;
+  assert.ok(desk !== undefined && first !== undefined && second !== undefined);
+  const entry = (address: string) => ({
+    address,
+    born: 1,
+    info: { service: 'stock', version: 'v1', zone: 'a', slots: 1000 },
+    status: { state: 'ready', sequence: 1, warmupLeft: '0ms' },
+  });
+  ['127.0.0.1:99999', 'no address', '127.0.0.1', '999.1.1.1:80', '[::1:80', ':80'].forEach(
+    (address, at) => fleet.store.put(`servers/odd-${at}`, entry(address)),
+  );
+  fleet.store.put('servers/odd-deep', `${'['.repeat(100_000)}${']'.repeat(100_000)}`);
+  fleet.store.remove(`servers/${first.backend.instance}`);
+  await waitFor('the removal', () => desk.node.backendServerCount === 2);
+  const answers = await Promise.all(
+    Array.from({ length: 20 }, (_, at) => fleet.call(desk, { id: `o${at}` })),
+  );
+  assert.deepEqual(new Set(answers.map(({ status }) => status)), new Set([200]));
+  assert.equal(second.backend.runs.length, 20);
+});
