Close a connection after an answer that does not name its request

Shown here: an order got 503 while its backend server ran it. Refusals need not name the attempt, so only their place on the connection says which request they answer. Same cause elsewhere: after the answer to another request the connection was to be closed, but the HTTP client ignores an abort after the end of an answer, so each later answer on it belonged to the request before.

A connection goes back to the pool only after a whole answer that names its request; after refusals and failures it is closed. A refusal costs a new connection, which the gate's own limits keep rare. Both tests failed before (503 for 200; the same connection twice) and pass now.

--- a/src/sidecar/backend-connection-pool.ts
+++ b/src/sidecar/backend-connection-pool.ts
@@ -93,6 +93,15 @@
     }
   }
 
+  /**
+   * Closes a connection instead of returning it to the pool.
+   *
+   * @param connection - connection from `acquire`
+   */
+  discard({ client }: BackendConnection): void {
+    if (this.#busy.delete(client)) void client.destroy();
+  }
+
   /**
    * Lowers the idle limit after a connection broke before the response to its request began.
    *
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -14,6 +14,25 @@
   /** The request may have run. */
   | { readonly kind: 'failed'; readonly code: CodeName; readonly isBroken: boolean };
 
+/**
+ * Checks whether the connection of an exchange can carry another request. An answer that names no
+ * request is matched by its place on the connection only: a refusal that a faulty server sends again
+ * would pass for the answer to the next request.
+ *
+ * @param end - how the exchange ended
+ * @returns whether the answer was whole and named its request
+ */
+export function isConnectionReusable(end: ExchangeEnd): boolean {
+  switch (end.kind) {
+    case 'answered':
+      return end.head.requestId !== null;
+    case 'shed':
+    case 'unsent':
+    case 'failed':
+      return false;
+  }
+}
+
 /** Options of an exchange. */
 export interface BackendExchangeOptions {
   readonly call: MeshCall;
@@ -138,8 +157,6 @@
       return { kind: 'failed', code: 'answerTruncated', isBroken: false };
     }
     if (head.requestId !== null && head.requestId !== this.#options.call.requestId) {
-      // The next response on this connection may belong to another request as well.
-      this.#controller?.abort(new Error('response belongs to another request'));
       return { kind: 'failed', code: 'answerInvalid', isBroken: false };
     }
     if (head.isNotRun) return { kind: 'shed', head };
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -21,8 +21,8 @@
 import { reportViolations, type ViolationReporter } from '../core/promises/report.js';
 import { assertPromise } from '../core/promises/violation.js';
 import { Task } from '../core/task/task.js';
-import { BackendExchange, type ExchangeEnd } from './backend-exchange.js';
-import { BackendConnectionPool } from './backend-connection-pool.js';
+import { BackendExchange, isConnectionReusable, type ExchangeEnd } from './backend-exchange.js';
+import { BackendConnectionPool, type BackendConnection } from './backend-connection-pool.js';
 import { BackendMonitor } from './backend-monitor.js';
 import { NoticeFilter } from './notice-filter.js';
 import { describeGateDecision, type PendingCall, type RunningCall } from './gate-decision.js';
@@ -321,7 +321,7 @@
   #finishExchange(callId: CallId, end: ExchangeEnd): void {
     const found = this.#pendingCalls.get(callId);
     const run = this.#runningCalls.get(callId);
-    if (run !== undefined) this.#connectionPool.release(run.connection);
+    if (run !== undefined) this.#returnConnection(run.connection, end);
     if (found === undefined) {
       this.#runningCalls.delete(callId);
       this.#task.send({ kind: 'ended', callId, end: 'failed' });
@@ -361,6 +361,11 @@
     this.#scheduleQueue();
   }
 
+  #returnConnection(connection: BackendConnection, end: ExchangeEnd): void {
+    if (isConnectionReusable(end)) this.#connectionPool.release(connection);
+    else this.#connectionPool.discard(connection);
+  }
+
   #setCondition(condition: Condition, reason: string): void {
     const before = this.#task.state.condition.kind;
     this.#task.send({ kind: 'condition', condition });
--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -23,7 +23,9 @@
   /** Sends the answer twice on the connection. */
   | 'extra'
   /** Rejects the request with 503 without running it. */
-  | 'shed';
+  | 'shed'
+  /** Runs the request and answers 503 without saying that it was not run. */
+  | 'busy';
 
 /** A request for the application that the backend server received. */
 export interface ReceivedRequest {
@@ -32,6 +34,8 @@
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
   readonly receivedAtMs: number;
+  /** Port of the sender, which identifies the connection. */
+  readonly senderPort: number;
 }
 
 /** Selects the fault for a request. */
@@ -40,6 +44,10 @@
 const ANSWER_BODY = '{"whole":true}';
 const HEALTH_PATH = '/healthz';
 
+/** Refusals of the platform need not name the attempt. */
+const REPEATED_REFUSAL =
+  'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+
 /** Stand-in for a backend server of the platform, with injected faults. */
 export class PlatformBackend {
   readonly server: Server;
@@ -69,6 +77,11 @@
   /** Whether the backend server states in its answers that it leaves. */
   isLeaving = false;
 
+  /** Whether an earlier refusal on a connection is sent again as the answer to its next request. */
+  isRepeatingRefusals = false;
+
+  readonly #refusedOn = new WeakSet<object>();
+
   /** Idle time after which the next request on a connection resets it; null never resets. */
   idleResetAfterMs: number | null = null;
 
@@ -126,9 +139,14 @@
       headers: request.headers,
       body: Buffer.concat(chunks).toString('utf8'),
       receivedAtMs: performance.now(),
+      senderPort: request.socket.remotePort ?? 0,
     };
     const fault = this.selectFault(received);
+    if (this.isRepeatingRefusals && this.#refusedOn.has(request.socket)) {
+      request.socket.write(REPEATED_REFUSAL);
+    }
     if (fault === 'shed') {
+      this.#refusedOn.add(request.socket);
       response
         .writeHead(503, {
           'Not-Executed': '1',
@@ -167,6 +185,9 @@
     const writeRaw = (text: string): boolean => socket?.write(text) ?? false;
     const headText = `HTTP/1.1 ${status} X\r\nAttempt-Id: ${id}\r\nResponse-Signature: signed-${id}\r\n`;
     switch (fault) {
+      case 'busy':
+        response.writeHead(503, head).end();
+        break;
       case 'none':
       case 'shed':
         response.writeHead(status, { ...head, ...this.#conditionHeaders }).end(ANSWER_BODY);
--- a/test/sidecar/request-path.test.ts
+++ b/test/sidecar/request-path.test.ts
@@ -182,3 +182,34 @@
   assert.deepEqual(new Set(answers.map(({ status }) => status)), new Set([200]));
   assert.equal(second.backend.runs.length, 20);
 });
+
+test('an earlier refusal that is sent again is not taken for the answer to the next request', async (t) => {
+  // Guards against reporting an order as not run while the backend server runs it.
+  const fleet = await startFleet(t, { hosts: ONE_HOST });
+  const [host] = fleet.hosts;
+  assert.ok(host !== undefined);
+  host.backend.isRepeatingRefusals = true;
+  host.backend.selectFault = ({ id }) => (id === 'q1' ? 'shed' : 'none');
+  const order = async (id: string): Promise<number> => {
+    const answer = await fleet.call(host, { id, path: '/order/1', method: 'POST', body: 'x' });
+    return answer.status;
+  };
+  assert.equal(await order('q1'), 503);
+  assert.equal(await order('q2'), 200);
+  assert.deepEqual(
+    host.backend.runs.map(({ id }) => id),
+    ['q2'],
+  );
+});
+
+test('a connection is not used again after the answer to another request', async (t) => {
+  // Guards against a connection on which each answer belongs to the request before.
+  const fleet = await startFleet(t, { hosts: ONE_HOST });
+  const [host] = fleet.hosts;
+  assert.ok(host !== undefined);
+  host.backend.selectFault = ({ id }) => (id === 's1' ? 'foreign' : 'none');
+  await fleet.call(host, { id: 's1', path: '/order/1', method: 'POST', body: 'x' });
+  await fleet.call(host, { id: 's2', path: '/order/1', method: 'POST', body: 'x' });
+  const [first, second] = host.backend.runs;
+  assert.notEqual(first?.senderPort, second?.senderPort);
+});
