Do not wait for the end of a health answer

A health answer whose body trickled on for ever kept its check running, since the HTTP client bounds only the pauses of a body, so no other check started and a gate that waited for one stayed closed. Only the head of a health answer counts, so its body is no longer read.

Ruled out by tests that passed at once: answers to requests with an endless status line, header, list of headers, row of interim answers, chunk extension, body, tail or other bytes end by the timeout of their route at the latest, and their connection closes. A head that never ends is bounded by the head's timeout. The test of the body timed out before and passes now.

--- a/src/sidecar/backend-health-check.ts
+++ b/src/sidecar/backend-health-check.ts
@@ -88,8 +88,12 @@
       bodyTimeout: ANSWER_TIMEOUT_MS,
     });
     try {
-      const { statusCode, headers, body } = await client.request({ path, method: 'GET' });
-      await body.dump();
+      const { statusCode, headers, body } = await client.request({
+        path,
+        method: 'GET',
+      });
+      // Only the head counts, and a faulty server may send a body that never ends.
+      body.on('error', () => {}).destroy();
       return {
         kind: 'answered',
         report: this.#options.dialect.readHealth(statusCode, headers),
--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Fault that a backend server injects into its answer; `none` is a correct answer. */
@@ -77,6 +78,9 @@
   /** Whether the backend server states in its answers that it leaves. */
   isLeaving = false;
 
+  /** Answers a request on the bare connection; returns whether it did. */
+  handleRaw: (received: ReceivedRequest, socket: Socket) => boolean = () => false;
+
   /** Whether an earlier refusal on a connection is sent again as the answer to its next request. */
   isRepeatingRefusals = false;
 
@@ -141,6 +145,7 @@
       receivedAtMs: performance.now(),
       senderPort: request.socket.remotePort ?? 0,
     };
+    if (this.handleRaw(received, request.socket)) return;
     const fault = this.selectFault(received);
     if (this.isRepeatingRefusals && this.#refusedOn.has(request.socket)) {
       request.socket.write(REPEATED_REFUSAL);
--- /dev/null
+++ b/test/sidecar/endless-answer.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type Server, type Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import { httpDialect } from '../../platform/http-dialect.js';
+import {
+  BackendHealthCheck,
+  type HealthCheckResult,
+} from '../../src/sidecar/backend-health-check.js';
+import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
+import { startFleet, waitFor } from './fleet.js';
+
+const BLOCK = 'x'.repeat(16_384);
+const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nResponse-Signature: s\r\n';
+
+interface EndlessAnswer {
+  readonly start: string;
+  readonly repeated: string;
+}
+
+const ENDLESS_ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
+  'status line': { start: 'HTTP/1.1 200 ', repeated: BLOCK },
+  'header name': { start: HEAD, repeated: BLOCK },
+  'header value': { start: `${HEAD}X-Long: `, repeated: BLOCK },
+  'list of headers': { start: HEAD, repeated: `X-More: ${'y'.repeat(100)}\r\n` },
+  'row of interim answers': { start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
+  'chunked body': {
+    start: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: `4000\r\n${BLOCK}\r\n`,
+  },
+  'chunk extension': { start: `${HEAD}Transfer-Encoding: chunked\r\n\r\n1;`, repeated: BLOCK },
+  'body without a length': { start: `${HEAD}\r\n`, repeated: BLOCK },
+  'stream of other bytes': { start: '', repeated: '\u0001\u0002garbage' },
+  'tail after a whole answer': { start: `${HEAD}Content-Length: 2\r\n\r\nok`, repeated: BLOCK },
+};
+
+/** Writes without end, as fast as the peer reads, until the connection closes. */
+function writeEndlessly(socket: Socket, { start, repeated }: EndlessAnswer): void {
+  const block = repeated.repeat(Math.max(1, Math.floor(BLOCK.length / repeated.length)));
+  const write = (): void => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on('error', () => {});
+  socket.on('drain', write);
+  socket.write(start);
+  write();
+}
+
+async function listenRaw(context: TestContext, server: Server): Promise<number> {
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket) => sockets.add(socket));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  context.after(() => {
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+  });
+  const address = server.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
+}
+
+for (const [name, answer] of Object.entries(ENDLESS_ANSWERS)) {
+  test(`an answer with an endless ${name} ends by the timeout of the route and its connection closes`, async (t) => {
+    // Guards against a node that reads a faulty answer for ever, or holds all of its bytes.
+    const fleet = await startFleet(t, { hosts: [{ service: 'stock', zone: 'a' }] });
+    const [host] = fleet.hosts;
+    assert.ok(host !== undefined);
+    let isClosed = false;
+    host.backend.handleRaw = ({ id }, socket) => {
+      if (id !== 'e1') return false;
+      socket.on('close', () => {
+        isClosed = true;
+      });
+      writeEndlessly(socket, answer);
+      return true;
+    };
+    const startedAt = performance.now();
+    const { status } = await fleet.call(host, { id: 'e1', path: '/order/1', method: 'POST' });
+    const tookMs = performance.now() - startedAt;
+    assert.ok(status === 502 || status === 504, `status ${status}`);
+    assert.ok(tookMs < 1300, `took ${tookMs} ms`);
+    await waitFor('the end of the connection', () => isClosed);
+    const next = await fleet.call(host, { id: 'e2', path: '/order/1', method: 'POST' });
+    assert.equal(next.status, 200);
+  });
+}
+
+for (const part of ['head', 'body'] as const) {
+  test(`a health answer with a ${part} that never ends does not stop the health checks`, async (t) => {
+    // Guards against a gate that stays closed because one health answer trickles on for ever.
+    let answers = 0;
+    const server = createServer((socket) => {
+      answers += 1;
+      socket.on('error', () => {});
+      socket.write('HTTP/1.1 200 OK\r\n');
+      if (answers > 1) {
+        socket.end('Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n');
+        return;
+      }
+      if (part === 'body') socket.write('Transfer-Encoding: chunked\r\n\r\n');
+      const block = part === 'body' ? '1\r\nx\r\n' : 'X: y\r\n';
+      const trickle = setInterval(() => socket.write(block), 50);
+      socket.on('close', () => clearInterval(trickle));
+    });
+    const port = await listenRaw(t, server);
+    const results: HealthCheckResult[] = [];
+    const check = new BackendHealthCheck({
+      url: `http://127.0.0.1:${port}`,
+      clock: monotonicClock,
+      dialect: httpDialect,
+      onResult: (result) => results.push(result),
+    });
+    t.after(() => check.close());
+    check.setPath('/healthz');
+    check.check();
+    await waitFor('a whole health answer', () =>
+      results.some(({ kind }) => kind === 'answered' && answers > 1),
+    );
+  });
+}
