Bound the bytes that all answers of a backend server hold together

Each answer may hold 64 MB, and nothing bounded them together, so a faulty server whose answers never end could bring its node over the memory limit (350 MB, 250 MB on small hosts): six endless answers held 227 MB at once. Now they share a fifth of the memory, and the answer that holds the most is given up.

The test of six endless answers fails without the bound (227 MB held, half of the memory limit is 175) and passes with it.

--- a/src/core/directory/directory.ts
+++ b/src/core/directory/directory.ts
@@ -1,3 +1,4 @@
+import type { CodeName } from '../errors/registry.js';
 import type { ServiceName, ZoneName } from '../model/names.js';
 import type { Instance } from './instance.js';
 
@@ -58,3 +59,15 @@
       findInstance(directory, instance.address)?.id === instance.id,
   );
 }
+
+/**
+ * Returns why the gate beside a backend server refuses new calls.
+ *
+ * @param directory - the directory
+ * @param own - entry of the backend server, or null when none is listed
+ * @returns the result code, or null while the gate is open
+ */
+export function closedReason({ zonesOut }: Directory, own: Instance | null): CodeName | null {
+  if (own === null || own.state === 'leaving') return 'nodeLeaving';
+  return zonesOut.has(own.zone) ? 'zoneOut' : null;
+}
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CodeName } from '../core/errors/registry.js';
+import type { AnswerBuffer, AnswerHold } from './answer-buffer.js';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { BackendHead } from '../core/exchange/incoming-request.js';
 import type { MeshCall } from '../core/exchange/mesh-call.js';
@@ -38,6 +39,8 @@
   readonly call: MeshCall;
   readonly dialect: Dialect;
   readonly maxAnswerBytes: number;
+  /** Counts the bytes of all answers that are being received. */
+  readonly buffer: AnswerBuffer;
   readonly onEnd: (end: ExchangeEnd) => void;
 }
 
@@ -60,7 +63,7 @@
 }
 
 /** One HTTP exchange with the backend server, from the start of the request to its result. */
-export class BackendExchange implements Dispatcher.DispatchHandler {
+export class BackendExchange implements Dispatcher.DispatchHandler, AnswerHold {
   readonly #options: BackendExchangeOptions;
 
   readonly #chunks: Buffer[] = [];
@@ -103,6 +106,9 @@
     this.#controller?.abort(new Error(code));
   }
 
+  /** {@inheritDoc AnswerHold.evict} */
+  readonly evict = (): void => this.abort('answerTooLarge');
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     // undici calls this again before it resends a request on another connection. The resend is
@@ -127,8 +133,12 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
-    if (this.#receivedBytes > this.#options.maxAnswerBytes) this.abort('answerTooLarge');
-    else this.#chunks.push(chunk);
+    if (this.#receivedBytes > this.#options.maxAnswerBytes) {
+      this.abort('answerTooLarge');
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#options.buffer.add(this, chunk.length);
   }
 
   onResponseEnd(): void {
@@ -188,6 +198,7 @@
   #end(end: ExchangeEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#options.buffer.release(this);
     this.#options.onEnd(end);
   }
 }
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -21,11 +21,11 @@
 import { reportViolations, type ViolationReporter } from '../core/promises/report.js';
 import { assertPromise } from '../core/promises/violation.js';
 import { Task } from '../core/task/task.js';
-import { BackendExchange, isConnectionReusable, type ExchangeEnd } from './backend-exchange.js';
-import { BackendConnectionPool, type BackendConnection } from './backend-connection-pool.js';
+import type { ExchangeEnd } from './backend-exchange.js';
 import { BackendMonitor } from './backend-monitor.js';
+import { BackendSender, type RunningCall } from './backend-sender.js';
 import { NoticeFilter } from './notice-filter.js';
-import { describeGateDecision, type PendingCall, type RunningCall } from './gate-decision.js';
+import { describeGateDecision, type PendingCall } from './gate-decision.js';
 
 /** Options of the gate. */
 export interface DispatchTaskOptions {
@@ -34,6 +34,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly dialect: Dialect;
+  /** Limit of the bytes of all answers that are being received. */
+  readonly maxBufferedBytes: number;
   /** @returns time for which a call waits before it is admitted, in case its caller left */
   readonly holdMs: () => Milliseconds;
   /** Pressure of the services that the backend server calls, from 0 to 1. */
@@ -45,7 +47,6 @@
   readonly onViolation: ViolationReporter;
 }
 
-const MAX_ANSWER_BYTES = 67_108_864;
 const QUEUE_TICK_MS: Milliseconds = 10;
 
 /** The backend server enforces the deadline itself; its response arrives slightly after it. */
@@ -66,7 +67,7 @@
 
   readonly #monitor: BackendMonitor;
 
-  readonly #connectionPool: BackendConnectionPool;
+  readonly #sender: BackendSender;
 
   readonly #notices: NoticeFilter;
 
@@ -97,7 +98,7 @@
       isLeaving: () => this.#task.state.isBackendLeaving,
       send: (message) => this.#task.send(message),
     });
-    this.#connectionPool = new BackendConnectionPool({ url, clock });
+    this.#sender = new BackendSender(options);
     this.#monitor = new BackendMonitor({
       url,
       clock,
@@ -218,7 +219,7 @@
   async close(): Promise<void> {
     this.#monitor.close();
     if (this.#queueTimer !== null) clearTimeout(this.#queueTimer);
-    await this.#connectionPool.close();
+    await this.#sender.close();
   }
 
   /** Hands a call to the queue, unless it was cancelled meanwhile. */
@@ -297,31 +298,15 @@
       return;
     }
     const { call, deadline } = found;
-    const now = this.#options.clock.now();
-    const { dialect } = this.#options;
-    const connection = this.#connectionPool.acquire();
-    const exchange = new BackendExchange({
-      call,
-      dialect,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
-      onEnd: (end) => this.#finishExchange(callId, end),
-    });
-    this.#runningCalls.set(callId, { exchange, connection, startedAt: now });
-    connection.client.dispatch(
-      {
-        path: call.path,
-        method: call.method,
-        headers: dialect.backendHeaders(call, deadline - now).flat(),
-        body: call.body.length === 0 ? null : call.body,
-      },
-      exchange,
-    );
+    const run = this.#sender.prepare(call, (end) => this.#finishExchange(callId, end));
+    this.#runningCalls.set(callId, run);
+    this.#sender.send(run, call, deadline - run.startedAt);
   }
 
   #finishExchange(callId: CallId, end: ExchangeEnd): void {
     const found = this.#pendingCalls.get(callId);
     const run = this.#runningCalls.get(callId);
-    if (run !== undefined) this.#returnConnection(run.connection, end);
+    if (run !== undefined) this.#sender.finish(run, end);
     if (found === undefined) {
       this.#runningCalls.delete(callId);
       this.#task.send({ kind: 'ended', callId, end: 'failed' });
@@ -329,8 +314,6 @@
     }
     this.#monitor.observeExchange(found.call.fingerprint, end);
     if (run !== undefined) this.#notices.applyExchange(end, found.call.instance, run.startedAt);
-    const isBrokenBeforeHead = end.kind === 'failed' && end.isBroken && end.code === 'serverFailed';
-    if (isBrokenBeforeHead && run !== undefined) this.#connectionPool.recordBreak(run.connection);
     switch (end.kind) {
       case 'answered':
         this.#options.onCompleted(found.call.fingerprint);
@@ -361,11 +344,6 @@
     this.#scheduleQueue();
   }
 
-  #returnConnection(connection: BackendConnection, end: ExchangeEnd): void {
-    if (isConnectionReusable(end)) this.#connectionPool.release(connection);
-    else this.#connectionPool.discard(connection);
-  }
-
   #setCondition(condition: Condition, reason: string): void {
     const before = this.#task.state.condition.kind;
     this.#task.send({ kind: 'condition', condition });
--- a/src/sidecar/gate-decision.ts
+++ b/src/sidecar/gate-decision.ts
@@ -4,8 +4,7 @@
 import type { MeshCall, MeshReply } from '../core/exchange/mesh-call.js';
 import type { LogEntry } from '../core/logs/log-entry.js';
 import type { Instant } from '../core/model/time.js';
-import type { BackendConnection } from './backend-connection-pool.js';
-import type { BackendExchange } from './backend-exchange.js';
+import type { RunningCall } from './backend-sender.js';
 
 /** A call at the gate, from its arrival to its reply. */
 export interface PendingCall {
@@ -16,13 +15,6 @@
   readonly timer: NodeJS.Timeout;
 }
 
-/** A call that was sent to the backend server. */
-export interface RunningCall {
-  readonly exchange: BackendExchange;
-  readonly connection: BackendConnection;
-  readonly startedAt: Instant;
-}
-
 /** A decision of the gate about one call, and its inputs. */
 export interface GateDecision {
   readonly pending: PendingCall;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultAsync } from 'neverthrow';
-import { findInstance, extractIp } from '../core/directory/directory.js';
+import { closedReason, extractIp, findInstance } from '../core/directory/directory.js';
 import type { Instance } from '../core/directory/instance.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
 import { formatFault, type Fault } from '../core/errors/fault.js';
@@ -51,6 +51,9 @@
 /** Fraction of the memory limit that buffered request bodies may use. */
 const BODY_MEMORY_SHARE = 0.3;
 
+/** Fraction of the memory limit that answers of the backend server may use. */
+const ANSWER_MEMORY_SHARE = 0.2;
+
 /**
  * Interval of the status messages to peers. A peer that cannot read the store receives a change
  * within this interval plus one round trip.
@@ -308,6 +311,7 @@
       clock,
       log: this.#log,
       dialect,
+      maxBufferedBytes: this.#settings.memoryBytes * ANSWER_MEMORY_SHARE,
       holdMs: () => this.#pauseWatch.holdMs,
       downstreamPressure: () => this.#loadTask.downstreamPressure,
       onBackendCrash: (fingerprints) => this.#crashTask.recordCrash(fingerprints),
@@ -405,12 +409,7 @@
     const own = findInstance(this.#controlPath.directory, this.#backendAddress);
     const services = this.#controlPath.policy.lookup?.services;
     const profile = own === null ? null : (services?.get(own.service) ?? null);
-    this.#gate.update(own, profile, this.#closedReason(own));
-  }
-
-  #closedReason(own: Instance | null): CodeName | null {
-    if (own === null || own.state === 'leaving') return 'nodeLeaving';
-    return this.#controlPath.directory.zonesOut.has(own.zone) ? 'zoneOut' : null;
+    this.#gate.update(own, profile, closedReason(this.#controlPath.directory, own));
   }
 
   /** Sends the status of the published values to the neighbours and updates the gauges. */
--- a/test/sidecar/dispatch-cancel.test.ts
+++ b/test/sidecar/dispatch-cancel.test.ts
@@ -45,6 +45,7 @@
     clock: monotonicClock,
     log: { write: () => {} },
     dialect: httpDialect,
+    maxBufferedBytes: 1_000_000,
     holdMs,
     downstreamPressure: () => 0,
     onBackendCrash: () => {},
--- a/test/sidecar/endless-answer.test.ts
+++ b/test/sidecar/endless-answer.test.ts
@@ -3,6 +3,8 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { httpDialect } from '../../platform/http-dialect.js';
+import type { AnswerHold } from '../../src/sidecar/answer-buffer.js';
+import { AnswerBuffer } from '../../src/sidecar/answer-buffer.js';
 import {
   BackendHealthCheck,
   type HealthCheckResult,
@@ -118,3 +120,60 @@
     );
   });
 }
+
+test('endless answers together hold no more than their share of the memory', async (t) => {
+  // Guards against a node that is killed for its memory since each answer alone is within its limit.
+  const fleet = await startFleet(t, { hosts: [{ service: 'stock', zone: 'a' }] });
+  const [host] = fleet.hosts;
+  assert.ok(host !== undefined);
+  const answer = ENDLESS_ANSWERS['chunked body'];
+  assert.ok(answer !== undefined);
+  const ids = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'];
+  const open = new Set<Socket>();
+  let mostBytes = 0;
+  const sampler = setInterval(() => {
+    const openBytes = [...open].reduce((sum, socket) => sum + socket.bytesWritten, 0);
+    mostBytes = Math.max(mostBytes, openBytes);
+  }, 2);
+  t.after(() => clearInterval(sampler));
+  host.backend.handleRaw = ({ id }, socket) => {
+    if (!ids.includes(id)) return false;
+    open.add(socket);
+    socket.on('close', () => open.delete(socket));
+    writeEndlessly(socket, answer);
+    return true;
+  };
+  // The gate lets only a few calls run until the first answer.
+  assert.equal((await fleet.call(host, { id: 'm0' })).status, 200);
+  const answers = await Promise.all(
+    ids.map((id) => fleet.call(host, { id, path: '/order/1', method: 'POST' })),
+  );
+  assert.ok(answers.every(({ status }) => status === 502 || status === 504));
+  const limit = host.settings.memoryBytes * 0.5;
+  assert.ok(mostBytes < limit, `${Math.round(mostBytes / 1e6)} MB held at once`);
+});
+
+/** An answer that records whether it was evicted. */
+class RecordingHold implements AnswerHold {
+  isEvicted = false;
+
+  evict(): void {
+    this.isEvicted = true;
+  }
+}
+
+test('the largest answer is given up when the answers hold too many bytes', () => {
+  // Guards against endless answers that exhaust the memory of the node together.
+  const buffer = new AnswerBuffer(100);
+  const [small, large, other] = [new RecordingHold(), new RecordingHold(), new RecordingHold()];
+  buffer.add(small, 20);
+  buffer.add(large, 30);
+  buffer.add(large, 30);
+  buffer.add(other, 30);
+  assert.ok(large.isEvicted);
+  assert.ok(!small.isEvicted && !other.isEvicted);
+  assert.equal(buffer.heldBytes, 50);
+  buffer.release(small);
+  buffer.release(large);
+  assert.equal(buffer.heldBytes, 30);
+});
