Count an unreadable limit as an answer, and name the check of pauses after what it does

A server that states a limit that cannot be read was probed with four calls for as long as its node had started anew, and had all its slots otherwise. Both are now alike: the limit in force stays, and the server counts as having answered. The wait after a pause was a property whose reading looked for a pause; it is a method now. The rates in force are listed without a mutable array.

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -108,28 +108,23 @@
   return startLimit.kind === 'unprobed' ? Math.min(usable, PROBE_CALLS) : usable;
 }
 
+function coldRates({ condition, coldRatePerSecond }: DispatchState): readonly StartRate[] {
+  if (condition.kind !== 'cold') return [];
+  const rootShare = COLD_ROOT_RESERVED_SHARE;
+  return [{ ratePerSecond: coldRatePerSecond, rootShare, reason: 'cold-start' }];
+}
+
+function statedRates({ startLimit }: DispatchState): readonly StartRate[] {
+  if (startLimit.kind !== 'limited') return [];
+  const { ratePerSecond } = startLimit;
+  return [{ ratePerSecond, rootShare: ROOT_RESERVED_SHARE, reason: 'stated-limit' }];
+}
+
 /** Lists the rates that limit the starts at present; the lowest one comes first. */
-function startRates({
-  condition,
-  coldRatePerSecond,
-  startLimit,
-}: DispatchState): readonly StartRate[] {
-  const rates: StartRate[] = [];
-  if (condition.kind === 'cold') {
-    rates.push({
-      ratePerSecond: coldRatePerSecond,
-      rootShare: COLD_ROOT_RESERVED_SHARE,
-      reason: 'cold-start',
-    });
-  }
-  if (startLimit.kind === 'limited') {
-    rates.push({
-      ratePerSecond: startLimit.ratePerSecond,
-      rootShare: ROOT_RESERVED_SHARE,
-      reason: 'stated-limit',
-    });
-  }
-  return rates.sort((left, right) => left.ratePerSecond - right.ratePerSecond);
+function startRates(state: DispatchState): readonly StartRate[] {
+  return [...coldRates(state), ...statedRates(state)].sort(
+    (left, right) => left.ratePerSecond - right.ratePerSecond,
+  );
 }
 
 /**
--- a/src/core/dispatch/start-limit.ts
+++ b/src/core/dispatch/start-limit.ts
@@ -28,8 +28,9 @@
 }
 
 /**
- * Applies the statement of an answer. An answer without a limit ends it, unless its request was sent
- * before the answer that last stated the limit: answers on different connections cross.
+ * Applies the statement of an answer. An unreadable limit leaves the one in force. An answer without
+ * a limit ends it, unless its request was sent before the answer that last stated the limit: answers
+ * on different connections cross.
  *
  * @param before - the limit so far
  * @param statement - the statement
@@ -49,7 +50,7 @@
         statedAt: now,
       };
     case 'unreadable':
-      return before;
+      return before.kind === 'unprobed' ? { kind: 'unlimited' } : before;
     case 'none':
       return before.kind === 'limited' && sentAt <= before.statedAt
         ? before
--- a/src/sidecar/pause-watch.ts
+++ b/src/sidecar/pause-watch.ts
@@ -72,12 +72,12 @@
   }
 
   /**
-   * Computes how long a request has to wait before it is handled. After a pause, its cancellation
+   * Checks for a pause and computes how long a request has to wait before it is handled. After a pause, its cancellation
    * may have arrived too and be read later, so requests wait until all such events are read.
    *
    * @returns the wait in milliseconds; 0 unless a pause has just ended
    */
-  get holdMs(): Milliseconds {
+  measureHold(): Milliseconds {
     this.check();
     return Math.max(0, this.#settledAt - this.#last.steadyAt);
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -149,7 +149,7 @@
       dialect,
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
-      holdMs: () => this.#pauseWatch.holdMs,
+      holdMs: () => this.#pauseWatch.measureHold(),
       isStopping: () => this.#isStopping,
       onUnreadRefusal: (code) => this.#metrics.entryAnswers.inc({ code }),
     });
@@ -312,7 +312,7 @@
       log: this.#log,
       dialect,
       maxBufferedBytes: this.#settings.memoryBytes * ANSWER_MEMORY_SHARE,
-      holdMs: () => this.#pauseWatch.holdMs,
+      holdMs: () => this.#pauseWatch.measureHold(),
       downstreamPressure: () => this.#loadTask.downstreamPressure,
       onBackendCrash: (fingerprints) => this.#crashTask.recordCrash(fingerprints),
       onCompleted: (fingerprint) => this.#crashTask.send({ kind: 'completed', fingerprint }),
