Hold queued calls at the end of a pause too

A call that waited in the queue of a gate when its host was suspended could start at the end of the pause, before its cancellation was read: only calls that arrived after the pause were held, by timers of their own. The hold is now part of the gate's state: no call starts until it ends, whichever event would start it.

--- a/src/core/dispatch/dispatch-state.ts
+++ b/src/core/dispatch/dispatch-state.ts
@@ -43,6 +43,8 @@
   readonly isBackendLeaving: boolean;
   /** Code with which new calls are refused; null while the gate is open. */
   readonly closed: CodeName | null;
+  /** No call starts before this instant, since cancellations may wait to be read. */
+  readonly heldUntil: Instant;
   /** Queued calls in the order of their rank. */
   readonly queue: readonly QueuedCall[];
   readonly running: ReadonlyMap<CallId, RunningCall>;
@@ -77,6 +79,8 @@
   | { readonly kind: 'leaving-stated' }
   /** Another instance of the backend server started, which has stated nothing yet. */
   | { readonly kind: 'instance-changed' }
+  /** The process was paused, and reading what arrived meanwhile takes this time. */
+  | { readonly kind: 'held'; readonly forMs: Milliseconds }
   | { readonly kind: 'closed'; readonly code: CodeName | null }
   | { readonly kind: 'resized'; readonly slots: number; readonly coldRatePerSecond: number }
   | { readonly kind: 'tick' };
--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -88,6 +88,7 @@
     startLimit: unprobedLimit,
     isBackendLeaving: false,
     closed: null,
+    heldUntil: Number.NEGATIVE_INFINITY,
     queue: [],
     running: new Map(),
     runningNested: 0,
@@ -160,6 +161,7 @@
 }
 
 function hasCapacity(state: DispatchState, now: Instant): boolean {
+  if (now < state.heldUntil) return false;
   switch (state.condition.kind) {
     case 'unknown':
     case 'down':
@@ -389,6 +391,8 @@
       return refuseAll({ ...state, isBackendLeaving: true }, 'nodeLeaving');
     case 'instance-changed':
       return step({ ...state, startLimit: unprobedLimit, isBackendLeaving: false });
+    case 'held':
+      return step({ ...state, heldUntil: now + message.forMs });
     case 'closed':
       return step({ ...state, closed: message.code });
     case 'resized':
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -36,7 +36,7 @@
   readonly dialect: Dialect;
   /** Limit of the bytes of all answers that are being received. */
   readonly maxBufferedBytes: number;
-  /** @returns time for which a call waits before it is admitted, in case its caller left */
+  /** @returns time for which no call starts, in case callers left during a pause */
   readonly holdMs: () => Milliseconds;
   /** Pressure of the services that the backend server calls, from 0 to 1. */
   readonly downstreamPressure: () => number;
@@ -188,9 +188,8 @@
     const timer = setTimeout(() => this.#expire(callId), Math.max(0, call.timeLeftMs));
     const deadline = now + call.timeLeftMs;
     this.#pendingCalls.set(callId, { call, arrivedAt: now, deadline, reply, timer });
-    const holdMs = this.#options.holdMs();
-    if (holdMs > 0) setTimeout(() => this.#admit(callId), holdMs);
-    else this.#admit(callId);
+    this.#applyHold();
+    this.#admit(callId, call);
     return callId;
   }
 
@@ -222,27 +221,23 @@
     await this.#sender.close();
   }
 
-  /** Hands a call to the queue, unless it was cancelled meanwhile. */
-  #admit(callId: CallId): void {
-    const found = this.#pendingCalls.get(callId);
-    if (found === undefined) return;
-    const { call, arrivedAt, deadline } = found;
+  #admit(callId: CallId, call: MeshCall): void {
     const mismatch = this.#findMismatch(call);
     if (mismatch !== null) {
       this.#reply(callId, this.#refusal(mismatch, false));
       return;
     }
-    const now = this.#options.clock.now();
-    this.#task.send({
-      kind: 'arrived',
-      callId,
-      rank: call.rank,
-      objectiveLeftMs: call.objectiveLeftMs - (now - arrivedAt),
-      timeLeftMs: deadline - now,
-    });
+    const { rank, objectiveLeftMs, timeLeftMs } = call;
+    this.#task.send({ kind: 'arrived', callId, rank, objectiveLeftMs, timeLeftMs });
     this.#scheduleQueue();
   }
 
+  /** Holds back starts after a pause. Called before each event that may start a call. */
+  #applyHold(): void {
+    const forMs = this.#options.holdMs();
+    if (forMs > 0) this.#task.send({ kind: 'held', forMs });
+  }
+
   #holdUntilHealthCheck(reason: string): void {
     this.#monitor.observe({ kind: 'restart-suspected', reason });
   }
@@ -304,6 +299,7 @@
   }
 
   #finishExchange(callId: CallId, end: ExchangeEnd): void {
+    this.#applyHold();
     const found = this.#pendingCalls.get(callId);
     const run = this.#runningCalls.get(callId);
     if (run !== undefined) this.#sender.finish(run, end);
@@ -346,6 +342,7 @@
 
   #setCondition(condition: Condition, reason: string): void {
     const before = this.#task.state.condition.kind;
+    this.#applyHold();
     this.#task.send({ kind: 'condition', condition });
     this.#scheduleQueue();
     if (before === condition.kind) return;
@@ -407,6 +404,7 @@
     if (this.#queueTimer !== null || this.#task.state.queue.length === 0) return;
     this.#queueTimer = setTimeout(() => {
       this.#queueTimer = null;
+      this.#applyHold();
       this.#task.send({ kind: 'tick' });
       this.#scheduleQueue();
     }, QUEUE_TICK_MS);
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -196,3 +196,17 @@
   assert.equal(violation?.promise, 'cold-start');
   assert.deepEqual(assertStartRate(starts.slice(1), rate, 800), []);
 });
+
+test('calls that were queued before a pause wait until their cancellations are read', () => {
+  // Guards against starting a queued call at the end of a pause in which its caller left.
+  const gate = new RecordingGate(10);
+  gate.arrive(1, ROOT, 0);
+  gate.arrive(2, ROOT, 0);
+  gate.send({ kind: 'held', forMs: 50 }, 10);
+  gate.send({ kind: 'condition', condition: { kind: 'warm' } }, 10);
+  gate.send({ kind: 'tick' }, 30);
+  assert.deepEqual(gate.started, []);
+  gate.send({ kind: 'cancelled', callId: 1 }, 40);
+  gate.send({ kind: 'tick' }, 60);
+  assert.deepEqual(gate.started, [2]);
+});
--- a/test/sidecar/dispatch-cancel.test.ts
+++ b/test/sidecar/dispatch-cancel.test.ts
@@ -131,6 +131,7 @@
   holdMs = 40;
   const callId = gate.submit(callOf('d2', 'at-most-once'), () => {});
   gate.submit(callOf('d3', 'at-most-once'), () => {});
+  holdMs = 0;
   await sleep(10);
   gate.cancel(callId);
   await waitFor('the run of the other call', () => backend.runs.length === 2);
