Let callers leave in the soak of real processes

Three in ten callers now leave within 0.6 s, and each request that starts more than half a second after its caller has left is a breach, also after a pause of a node; the users' rule allows a few.

The check is shown able to fail by its test.

--- a/soak/processes/observation.ts
+++ b/soak/processes/observation.ts
@@ -34,6 +34,8 @@
     }
   /** The connection closed before an answer arrived. */
   | { readonly kind: 'connection-lost'; readonly id: string; readonly at: number }
+  /** The caller closed its connection without waiting for the answer. */
+  | { readonly kind: 'caller-left'; readonly id: string; readonly at: number }
   /** A fault of a host, or of the store when `host` is null, and the period that it lasted. */
   | {
       readonly kind: 'fault';
@@ -77,6 +79,12 @@
 export const RECOVERY_LIMIT_MS = 6000;
 const MIN_SERVED_SHARE = 0.9;
 
+/**
+ * Bound of the users' rules page for requests of callers that left. It allows a few later ones; here
+ * each counts.
+ */
+const DEPARTURE_LIMIT_MS = 500;
+
 /** Statuses that guarantee that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -95,6 +103,8 @@
 
   readonly endedAt: ReadonlyMap<string, number>;
 
+  readonly leftAt: ReadonlyMap<string, number>;
+
   readonly #faults: readonly ObservationOf<'fault'>[];
 
   readonly configured: readonly ObservationOf<'configured'>[];
@@ -108,8 +118,12 @@
     this.runs = of('run-started');
     this.answers = new Map(of('answered').map((observation) => [observation.id, observation]));
     this.endedAt = new Map(
-      [...of('answered'), ...of('connection-lost')].map(({ id, at }) => [id, at]),
+      [...of('answered'), ...of('connection-lost'), ...of('caller-left')].map(({ id, at }) => [
+        id,
+        at,
+      ]),
     );
+    this.leftAt = new Map(of('caller-left').map(({ id, at }) => [id, at]));
     this.#faults = of('fault');
     this.configured = of('configured');
     this.faultsEndedAt = of('faults-ended')[0]?.at ?? Infinity;
@@ -214,9 +228,21 @@
     : [];
 }
 
-function checkRecovery({ requests, answers, faultsEndedAt }: ObservationIndex): readonly Breach[] {
+/** Also for hosts that stood still: a node drops the requests that it finds without a caller. */
+function checkDepartures({ runs, leftAt }: ObservationIndex): readonly Breach[] {
+  return runs.flatMap(({ id, at }) => {
+    const lateMs = at - (leftAt.get(id) ?? Infinity);
+    return lateMs > DEPARTURE_LIMIT_MS
+      ? [createBreach('departure', `${id} ran ${Math.round(lateMs)} ms after its caller had left`)]
+      : [];
+  });
+}
+
+function checkRecovery(index: ObservationIndex): readonly Breach[] {
+  const { requests, answers, leftAt, faultsEndedAt } = index;
   const after = [...requests.values()].filter(
-    ({ at, isRepeatable }) => isRepeatable && at > faultsEndedAt + RECOVERY_LIMIT_MS,
+    ({ id, at, isRepeatable }) =>
+      isRepeatable && !leftAt.has(id) && at > faultsEndedAt + RECOVERY_LIMIT_MS,
   );
   const served = after.filter(({ id }) => answers.get(id)?.status === 200).length;
   return served >= after.length * MIN_SERVED_SHARE
@@ -237,7 +263,12 @@
  */
 export function findBreaches(all: readonly Observation[]): readonly Breach[] {
   const index = new ObservationIndex(all);
-  return [checkRuns, checkAnswers, checkKeys, checkTimeLimit, checkRecovery].flatMap((rule) =>
-    rule(index),
-  );
+  return [
+    checkRuns,
+    checkAnswers,
+    checkKeys,
+    checkTimeLimit,
+    checkDepartures,
+    checkRecovery,
+  ].flatMap((rule) => rule(index));
 }
--- a/soak/processes/process-soak.ts
+++ b/soak/processes/process-soak.ts
@@ -28,6 +28,10 @@
 
 /** Period after the recovery limit in which most lookups have to be served. */
 const SERVED_WINDOW_MS = 3000;
+
+/** Share of the callers that leave without waiting for their answer, and when at the latest. */
+const LEAVING_SHARE = 0.3;
+const MAX_PATIENCE_MS = 600;
 const BODY = '{"whole":true}';
 
 /** Sends requests and records their outcome. */
@@ -54,11 +58,15 @@
     const url = this.#fleet.callerUrl(Math.floor(this.#random() * HOST_COUNT));
     const key = KEYS[this.#random() < 0.5 ? 0 : 1];
     const host = new URL(url).hostname;
+    const patienceMs = this.#random() < LEAVING_SHARE ? this.#random() * MAX_PATIENCE_MS : null;
+    const departure = new AbortController();
     const at = performance.now();
+    const timer = patienceMs === null ? null : setTimeout(() => departure.abort(), patienceMs);
     this.#observe({ kind: 'request-sent', id, path, isRepeatable: !isOrder, host, key, at });
     try {
       const answer = await request(`${url}${path}`, {
         dispatcher: this.#fleet.agent,
+        signal: departure.signal,
         method: isOrder ? 'POST' : 'GET',
         ...(isOrder ? { body: 'one block' } : {}),
         headersTimeout: CALLER_TIMEOUT_MS,
@@ -81,7 +89,10 @@
       });
     } catch {
       // Killed nodes close their connections, so the checks decide whether this is a breach.
-      this.#observe({ kind: 'connection-lost', id, at: performance.now() });
+      const kind = departure.signal.aborted ? 'caller-left' : 'connection-lost';
+      this.#observe({ kind, id, at: performance.now() });
+    } finally {
+      if (timer !== null) clearTimeout(timer);
     }
   }
 }
--- a/test/soak/observation.test.ts
+++ b/test/soak/observation.test.ts
@@ -144,3 +144,14 @@
   const served = lookups.map(({ id }) => answerObservation(id));
   assert.deepEqual(brokenPromises([faultsEnded, ...lookups, ...served]), []);
 });
+
+test('a request that runs long after its caller has left is a breach', () => {
+  // Guards against a check that never reports requests sent on for callers that left.
+  const seen = (runAt: number): readonly Observation[] => [
+    sentObservation('d1'),
+    { kind: 'caller-left', id: 'd1', at: 10_100 },
+    runObservation('d1', { at: runAt }),
+  ];
+  assert.deepEqual(brokenPromises(seen(10_500)), []);
+  assert.deepEqual(brokenPromises(seen(10_700)), ['departure']);
+});
