Refuse requests that may not end before a stopping node exits

Cause: a stopping node took every request until it exited. Callers are told to leave within 2 s, but stay while fewer than half of their zone is ready.

--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -39,6 +39,8 @@
 /** State and decisions of the node's other tasks that the filters use. */
 export interface AdmissionView {
   readonly lookup: () => PolicyLookup | null;
+  /** Whether a request with this deadline is answered before the node exits. */
+  readonly canServeUntil: (deadline: Instant) => boolean;
   readonly isQuarantined: (fingerprint: string) => boolean;
   /** @returns null when the request is within the quota */
   readonly spendQuota: (account: QuotaAccount) => Limitation | null;
@@ -143,6 +145,10 @@
     };
     const service = view.chooseService(route);
     if (service === null) return err(refusal('noBackendServer', view.retryDelayMs(route)));
+    const deadline = computeDeadline(request, route, arrivedAt);
+    if (!view.canServeUntil(deadline)) {
+      return err(refusal('nodeLeaving', view.retryDelayMs(route)));
+    }
     // Refusing a nested call would waste the work of its running parent.
     const overload = rank.isNested ? null : view.limitLoad(route, rank);
     if (overload !== null) {
@@ -161,7 +167,7 @@
       service,
       fingerprint,
       arrivedAt,
-      deadline: computeDeadline(request, route, arrivedAt),
+      deadline,
     });
   });
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -29,7 +29,12 @@
 import { createReadyServer, type ReadyPaths } from './ready-server.js';
 import { RequestListener } from './request-listener.js';
 import { RetryTask } from './retry-task.js';
-import { GATE_CLOSE_DELAY_MS, waitForDrain } from './graceful-stop.js';
+import {
+  canServeUntil,
+  GATE_CLOSE_DELAY_MS,
+  waitForDrain,
+  type PlannedStop,
+} from './graceful-stop.js';
 import { SidecarMetrics } from './sidecar-metrics.js';
 
 /** External dependencies of a node on the platform. */
@@ -104,7 +109,7 @@
 
   readonly #statusTimer: NodeJS.Timeout;
 
-  #isStopping = false;
+  #plannedStop: PlannedStop | null = null;
 
   /**
    * @param settings - validated settings of the process
@@ -150,7 +155,7 @@
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
       holdMs: () => this.#pauseWatch.measureHold(),
-      isStopping: () => this.#isStopping,
+      isStopping: () => this.#plannedStop !== null,
       onUnreadRefusal: (code) => this.#metrics.entryAnswers.inc({ code }),
     });
     this.#controlPath = this.#createControlPath();
@@ -173,7 +178,7 @@
 
   /** @returns whether the node accepts new requests */
   get isReady(): boolean {
-    return this.#controlPath.policy.lookup !== null && !this.#isStopping;
+    return this.#controlPath.policy.lookup !== null && this.#plannedStop === null;
   }
 
   /** @returns whether the node accepts requests and the gate of its backend server is open */
@@ -235,18 +240,13 @@
    */
   async stop(): Promise<boolean> {
     const { clock } = this.#dependencies;
-    const startedAt = clock.now();
-    this.#isStopping = true;
+    const stop = { startedAt: clock.now(), deadlineMs: this.#settings.stopDeadlineMs };
+    this.#plannedStop = stop;
     this.#reportEvent('stopRequested', { open: this.#openRequests });
     await sleep(GATE_CLOSE_DELAY_MS);
     this.#mesh.broadcast({ kind: 'leaving' });
     this.#gate.stop();
-    await waitForDrain({
-      clock,
-      startedAt,
-      deadlineMs: this.#settings.stopDeadlineMs,
-      openRequests: () => this.#openRequests,
-    });
+    await waitForDrain({ clock, stop, openRequests: () => this.#openRequests });
     const isDrained = this.#openRequests === 0;
     this.#reportEvent('nodeStopped', { open: this.#openRequests });
     await this.#close();
@@ -334,6 +334,7 @@
       origin: this.#settings.service,
       view: {
         lookup: () => this.#controlPath.policy.lookup,
+        canServeUntil: (deadline) => canServeUntil(this.#plannedStop, deadline, clock.now()),
         isQuarantined: (fingerprint) => this.#crashTask.isQuarantined(fingerprint),
         spendQuota: (account) => this.#quotaTask.spendToken(account),
         limitLoad: (route, rank) => this.#loadTask.limit({ route, rank }),
--- a/test/sidecar/control-path.test.ts
+++ b/test/sidecar/control-path.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY, startFleet, POLICY, waitFor, type Fleet, type FleetHost } from './fleet.js';
 
 const TWO_HOSTS = [
@@ -168,3 +169,32 @@
   assert.equal((await running).status, 200);
   assert.equal(await stopped, true);
 });
+
+test('a stopping node refuses requests that may not end before it exits', async (t) => {
+  // Guards against taking a request late in a stop and closing its connection without an answer.
+  const routes = POLICY.routes.map((route) =>
+    route.name === 'look' ? { ...route, timeout: '5s' } : route,
+  );
+  const fleet = await startFleet(t, { hosts: TWO_HOSTS, policy: { ...POLICY, routes } });
+  const [host, other] = hostsOf(fleet);
+  host.node.reload({ ...host.settings, stopDeadlineMs: 6000 });
+  [host, other].forEach(({ backend: prepared }) => {
+    const backend = prepared;
+    backend.workMs = 700;
+    backend.selectFault = ({ id }) => (id === 'q1' ? 'silent' : 'none');
+  });
+  const startedAt = performance.now();
+  const stopped = host.node.stop();
+  // Keeps the node open until shortly before its last moment.
+  const open = fleet.call(host, { id: 'q1', timeoutMs: 5500 });
+  const order = async (id: string): Promise<number> => {
+    const call = { id, path: '/order/1', method: 'POST', body: 'x' } as const;
+    return (await fleet.call(host, call)).status;
+  };
+  await sleep(4000);
+  assert.equal(await order('q2'), 200);
+  await sleep(Math.max(0, 4950 - (performance.now() - startedAt)));
+  assert.equal(await order('q3'), 503);
+  assert.ok([host, other].every(({ backend }) => backend.runs.every(({ id }) => id !== 'q3')));
+  await Promise.allSettled([open, stopped]);
+});
