--- a/test/sidecar/control-path.test.ts
+++ b/test/sidecar/control-path.test.ts
@@ -180,7 +180,7 @@
   host.node.reload({ ...host.settings, stopDeadlineMs: 6000 });
   [host, other].forEach(({ backend: prepared }) => {
     const backend = prepared;
-    backend.workMs = 700;
+    backend.workMs = 100;
     backend.selectFault = ({ id }) => (id === 'q1' ? 'silent' : 'none');
   });
   const startedAt = performance.now();
@@ -193,7 +193,12 @@
   };
   await sleep(4000);
   assert.equal(await order('q2'), 200);
-  await sleep(Math.max(0, 4950 - (performance.now() - startedAt)));
+  // The run would end after the exit, which is 5.6 s after the signal.
+  [host, other].forEach(({ backend: prepared }) => {
+    const backend = prepared;
+    backend.workMs = 780;
+  });
+  await sleep(Math.max(0, 4850 - (performance.now() - startedAt)));
   assert.equal(await order('q3'), 503);
   assert.ok([host, other].every(({ backend }) => backend.runs.every(({ id }) => id !== 'q3')));
   await Promise.allSettled([open, stopped]);
