Wait for more reads after a pause, by the clock

Cause: the close of a link between nodes is reported some reads after the frames that came before it, and the timers of a process that has just resumed may count from before the pause, so neither one read nor the timer was enough. The time is measured by the clock now, and 16 reads follow.

--- a/src/sidecar/pause-watch.ts
+++ b/src/sidecar/pause-watch.ts
@@ -30,6 +30,9 @@
 /** Time for reading the events that waited during a pause; large messages take several reads. */
 const SETTLE_MS: Milliseconds = 50;
 
+/** Reads that follow; the close of a link between nodes is reported some reads after its frames. */
+const SETTLE_READS = 16;
+
 interface Reading {
   readonly steadyAt: Instant;
   readonly dayAt: Milliseconds;
@@ -86,17 +89,29 @@
 
   #startSettling(pause: Pause): void {
     if (this.#settling !== null) clearTimeout(this.#settling);
-    const settling = setTimeout(() => {
-      // A starved process may run its timers before it reads; an immediate runs after a read.
-      setImmediate(() => this.#settle(settling));
-    }, SETTLE_MS);
-    this.#settling = settling;
+    this.#settling = this.#waitUntil(this.#last.steadyAt + SETTLE_MS);
     this.#options.onPause(pause);
   }
 
-  #settle(settling: NodeJS.Timeout): void {
-    // A further pause starts the time anew.
+  /** The timers of a process that has just resumed may count from before the pause. */
+  #waitUntil(instant: Instant): NodeJS.Timeout {
+    const settling = setTimeout(() => {
+      if (this.#settling !== settling) return;
+      if (this.#options.clock.now() < instant) this.#settling = this.#waitUntil(instant);
+      else this.#settle(settling, SETTLE_READS);
+    }, instant - this.#options.clock.now());
+    return settling;
+  }
+
+  /** Waits for some more reads: a starved process may run its timers before it reads at all. */
+  #settle(settling: NodeJS.Timeout, readsLeft: number): void {
+    // A further pause starts the wait anew.
     if (this.#settling !== settling) return;
+    if (readsLeft > 0) {
+      // An immediate runs after the sockets have been read once.
+      setImmediate(() => this.#settle(settling, readsLeft - 1));
+      return;
+    }
     this.#settling = null;
     this.#options.onSettled();
   }
--- a/test/sidecar/pause-watch.test.ts
+++ b/test/sidecar/pause-watch.test.ts
@@ -80,8 +80,10 @@
   t.mock.timers.tick(40);
   move(0, 2000);
   assert.equal(watch.check(), true);
+  move(40, 40);
   t.mock.timers.tick(40);
   assert.deepEqual(settled, []);
+  move(10, 10);
   t.mock.timers.tick(11);
   assert.equal(settled.length, 1);
   assert.equal(watch.check(), false);
