Log calls that arrive late, and measure the delay of the event loop

The logs did not say whether a call that was started after its caller had left was late in a process or on its link.

Each call bears the instant at which it was sent, on the clock of the sender. The gate bounds the difference of both clocks by round trips of its pings and by the opening of the link, so hosts need no common time, and a clock that stands still is corrected with the next round trip. A histogram has the delay of a regular timer of the process, four times a second.

No decision changes.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -538,6 +538,12 @@
     message: 'the backend server {instance} states that it leaves and gets no new requests',
     hint: 'Nothing to do if the stop of the backend server is planned.',
   },
+  callsLate: {
+    number: 4218,
+    title: 'Calls of a peer arrived late',
+    message: '{calls} calls of {peer} arrived up to {delayMs} ms late',
+    hint: 'Check the network between both hosts, and the load of both, if this recurs.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -1,4 +1,5 @@
 import type { CrashRecord } from '../model/crash-record.js';
+import type { Instant } from '../model/time.js';
 import type { Publication } from '../publications/publication.js';
 import type { Total, Usage } from '../quota/usage.js';
 import type { MeshCall, MeshReply } from './mesh-call.js';
@@ -22,11 +23,21 @@
   readonly isSettled: boolean;
 }
 
-/** Frames that nodes exchange over a link. */
+/** Frames that nodes exchange over a link. Each `sentAt` is on the clock of the sender. */
 export type MeshFrame =
   /** First frame on a link, sent by the node that opened it. */
-  | { readonly kind: 'hello'; readonly node: string; readonly address: string }
-  | { readonly kind: 'call'; readonly number: CallNumber; readonly call: MeshCall }
+  | {
+      readonly kind: 'hello';
+      readonly node: string;
+      readonly address: string;
+      readonly sentAt: Instant;
+    }
+  | {
+      readonly kind: 'call';
+      readonly number: CallNumber;
+      readonly call: MeshCall;
+      readonly sentAt: Instant;
+    }
   | { readonly kind: 'cancel'; readonly number: CallNumber }
   | { readonly kind: 'reply'; readonly number: CallNumber; readonly reply: MeshReply }
   | ({ readonly kind: 'status' } & PublicationStatus)
@@ -43,5 +54,6 @@
   | { readonly kind: 'marks'; readonly marks: readonly CrashRecord[] }
   /** The sender no longer accepts new calls. */
   | { readonly kind: 'leaving' }
-  | { readonly kind: 'ping' }
-  | { readonly kind: 'pong' };
+  | { readonly kind: 'ping'; readonly sentAt: Instant }
+  /** Echo of a ping, behind all that the sender had to send when it read the ping. */
+  | { readonly kind: 'pong'; readonly pingSentAt: Instant; readonly sentAt: Instant };
--- a/src/sidecar/frame-router.ts
+++ b/src/sidecar/frame-router.ts
@@ -1,7 +1,9 @@
+import type { Details } from '../core/errors/registry.js';
 import type { MeshFrame } from '../core/exchange/mesh-frame.js';
 import type { CrashTask } from '../runtime/crash-task.js';
 import type { ChangeFeedTask } from './change-feed-task.js';
 import type { GateServer } from './gate-server.js';
+import type { LateCalls } from './late-call-filter.js';
 import type { MeshLink } from './mesh-link.js';
 import type { PeerTable } from './peer-table.js';
 import type { PublicationTask } from './publication-task.js';
@@ -97,6 +99,17 @@
     }
   }
 
+  /**
+   * Describes late calls for the log.
+   *
+   * @param late - the calls
+   * @param link - the link that received them
+   * @returns the address of the peer, the number of calls and their longest delay
+   */
+  describeLateCalls({ calls, delayMs }: LateCalls, link: MeshLink): Details {
+    return { peer: this.#addressOf(link) ?? 'a peer', calls, delayMs: Math.round(delayMs) };
+  }
+
   /** Address of the peer at the other end of a link, whichever end opened it. */
   #addressOf(link: MeshLink): string | null {
     return this.#incomingAddresses.get(link) ?? this.#options.addressOf(link);
--- /dev/null
+++ b/src/sidecar/gate-caller.ts
@@ -0,0 +1,53 @@
+import { extractIp } from '../core/directory/directory.js';
+import type { Instance } from '../core/directory/instance.js';
+import type { MeshCall } from '../core/exchange/mesh-call.js';
+import type { DispatchTask } from './dispatch-task.js';
+import { callOwnGate, callPeerGate, type GateCall } from './gate-call.js';
+import type { MeshTask } from './mesh-task.js';
+import type { PeerTable } from './peer-table.js';
+
+/** Ways to the gates of backend servers. */
+export interface GateCallerOptions {
+  readonly gate: DispatchTask;
+  /** Address of the backend server of the own gate. */
+  readonly ownAddress: string;
+  readonly mesh: MeshTask;
+  readonly peers: PeerTable;
+}
+
+/** Sends calls to the gate of this node or to the gates of other nodes. */
+export class GateCaller {
+  readonly #options: GateCallerOptions;
+
+  /**
+   * @param options - the own gate and the links to other nodes
+   */
+  constructor(options: GateCallerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends a call to the gate of a backend server.
+   *
+   * @param instance - the backend server
+   * @param call - the call
+   * @returns the call in flight
+   */
+  call({ address }: Instance, call: MeshCall): GateCall {
+    const { gate, ownAddress, mesh, peers } = this.#options;
+    return address === ownAddress
+      ? callOwnGate(gate, call)
+      : callPeerGate(mesh, peers.addressOf(extractIp(address)), call);
+  }
+
+  /**
+   * Checks whether the gate of a backend server can be reached.
+   *
+   * @param instance - the backend server
+   * @returns whether it is the own gate, or that of a peer that accepts calls
+   */
+  isReachable({ address }: Instance): boolean {
+    const { ownAddress, peers } = this.#options;
+    return address === ownAddress || peers.isReachable(peers.addressOf(extractIp(address)));
+  }
+}
--- a/src/sidecar/mesh-link.ts
+++ b/src/sidecar/mesh-link.ts
@@ -2,6 +2,7 @@
 import type { MeshCall, MeshReply } from '../core/exchange/mesh-call.js';
 import type { CallNumber, MeshFrame } from '../core/exchange/mesh-frame.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import { LateCallFilter, type LateCalls } from './late-call-filter.js';
 import { MeshCodec } from './mesh-codec.js';
 
 /** Outcome of a call over a link. */
@@ -17,6 +18,8 @@
   | { readonly kind: 'opened' }
   | { readonly kind: 'frame'; readonly frame: MeshFrame }
   | { readonly kind: 'invalid'; readonly reason: string }
+  /** A call of the peer arrived late. */
+  | { readonly kind: 'calls-late'; readonly late: LateCalls }
   /** The link is closed. `isFault` is false when this node closed it on purpose. */
   | { readonly kind: 'closed'; readonly reason: string; readonly isFault: boolean };
 
@@ -46,6 +49,8 @@
 
   readonly #pendingCalls = new Map<CallNumber, (result: LinkResult) => void>();
 
+  readonly #lateCallFilter: LateCallFilter;
+
   #nextNumber: CallNumber = 1;
 
   #lastReceivedAt: Instant;
@@ -65,6 +70,11 @@
     const { socket, clock, onEvent } = options;
     this.#lastReceivedAt = clock.now();
     this.#lastUsedAt = clock.now();
+    this.#lateCallFilter = new LateCallFilter({
+      clock,
+      deliver: (frame) => onEvent({ kind: 'frame', frame }, this),
+      onLateCalls: (late) => onEvent({ kind: 'calls-late', late }, this),
+    });
     socket.on('open', () => {
       this.#lastReceivedAt = clock.now();
       onEvent({ kind: 'opened' }, this);
@@ -113,7 +123,7 @@
   call(call: MeshCall): { readonly number: CallNumber; readonly result: Promise<LinkResult> } {
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    if (!this.send({ kind: 'call', number, call })) {
+    if (!this.send({ kind: 'call', number, call, sentAt: this.#options.clock.now() })) {
       return { number, result: Promise.resolve({ kind: 'unsent' }) };
     }
     if (this.#pendingCalls.size === 0) this.#lastReceivedAt = this.#options.clock.now();
@@ -142,8 +152,7 @@
       return;
     }
     if (now - this.#lastReceivedAt < PING_DELAY_MS) return;
-    this.#pingSentAt = now;
-    this.send({ kind: 'ping' });
+    this.#sendPing(now);
   }
 
   /** Closes the link. Calls in flight end as lost. */
@@ -151,6 +160,15 @@
     this.#close('closed by this node', false);
   }
 
+  #sendPing(sentAt: Instant): void {
+    this.#pingSentAt = sentAt;
+    this.send({ kind: 'ping', sentAt });
+  }
+
+  #sendPong(pingSentAt: Instant): void {
+    this.send({ kind: 'pong', pingSentAt, sentAt: this.#options.clock.now() });
+  }
+
   #receive(bytes: Uint8Array): void {
     const now = this.#options.clock.now();
     this.#lastReceivedAt = now;
@@ -167,15 +185,21 @@
   #handleFrame(frame: MeshFrame, now: Instant): void {
     switch (frame.kind) {
       case 'ping':
-        this.send({ kind: 'pong' });
+        this.#sendPong(frame.sentAt);
         return;
       case 'pong':
+        this.#lateCallFilter.receivePong(frame);
+        return;
+      case 'call':
+        this.#lastUsedAt = now;
+        this.#lateCallFilter.receiveCall(frame);
         return;
       case 'reply':
         this.#lastUsedAt = now;
         this.#resolveCall(frame.number, { kind: 'replied', reply: frame.reply });
         return;
       default:
+        if (frame.kind === 'hello') this.#lateCallFilter.recordHello(frame.sentAt);
         this.#lastUsedAt = now;
         this.#options.onEvent({ kind: 'frame', frame }, this);
     }
--- a/src/sidecar/mesh-task.ts
+++ b/src/sidecar/mesh-task.ts
@@ -2,6 +2,7 @@
 import { WebSocket, WebSocketServer } from 'ws';
 import type { MeshFrame } from '../core/exchange/mesh-frame.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import type { LateCalls } from './late-call-filter.js';
 import { MeshLink, type MeshLinkEvent } from './mesh-link.js';
 
 /** Event that the mesh reports to its node. */
@@ -10,6 +11,8 @@
   | { readonly kind: 'link-opened'; readonly address: string }
   | { readonly kind: 'link-lost'; readonly address: string; readonly reason: string }
   | { readonly kind: 'frame-invalid'; readonly reason: string }
+  /** Calls of a peer arrived late, and have been cancelled or passed on. */
+  | { readonly kind: 'calls-late'; readonly late: LateCalls; readonly link: MeshLink }
   /** A link that a peer opened was closed, so the replies to its calls cannot be delivered. */
   | { readonly kind: 'incoming-link-closed'; readonly link: MeshLink };
 
@@ -211,6 +214,9 @@
       case 'invalid':
         onEvent({ kind: 'frame-invalid', reason: event.reason });
         break;
+      case 'calls-late':
+        onEvent({ kind: 'calls-late', late: event.late, link });
+        break;
       case 'closed':
         if (address === null) {
           this.#incoming.delete(link);
@@ -221,9 +227,9 @@
   }
 
   #handleOpened(link: MeshLink, address: string): void {
-    const { onEvent, node, address: own } = this.#options;
+    const { onEvent, node, address: own, clock } = this.#options;
     this.#failedAt.delete(address);
-    link.send({ kind: 'hello', node, address: own });
+    link.send({ kind: 'hello', node, address: own, sentAt: clock.now() });
     onEvent({ kind: 'link-opened', address });
   }
 
@@ -240,9 +246,10 @@
   }
 
   #accept(socket: WebSocket): void {
+    const { clock } = this.#options;
     const link: MeshLink = new MeshLink({
       socket,
-      clock: this.#options.clock,
+      clock,
       onEvent: (event) => this.#handleLinkEvent(event, link, null),
     });
     this.#incoming.add(link);
--- a/src/sidecar/pause-watch.ts
+++ b/src/sidecar/pause-watch.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   /** @returns the time of day in milliseconds, which advances during a suspension */
   readonly timeOfDay: () => Milliseconds;
+  /** Called with each regular check, by how much it was late. */
+  readonly onCheck: (lateMs: Milliseconds) => void;
   /** Called after each pause. */
   readonly onPause: (pause: Pause) => void;
   /** Called when the events that waited during the last pause have been read. */
@@ -50,6 +52,9 @@
 
   #last: Reading;
 
+  /** When the timer last fired. */
+  #lastTickAt: Instant;
+
   #settling: NodeJS.Timeout | null = null;
 
   /**
@@ -58,7 +63,8 @@
   constructor(options: PauseWatchOptions) {
     this.#options = options;
     this.#last = this.#read();
-    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.#lastTickAt = this.#last.steadyAt;
+    this.#timer = setInterval(() => this.#checkRegularly(), CHECK_INTERVAL_MS);
   }
 
   /**
@@ -87,6 +93,13 @@
     if (this.#settling !== null) clearTimeout(this.#settling);
   }
 
+  #checkRegularly(): void {
+    const now = this.#options.clock.now();
+    this.#options.onCheck(Math.max(0, now - this.#lastTickAt - CHECK_INTERVAL_MS));
+    this.#lastTickAt = now;
+    this.check();
+  }
+
   #startSettling(pause: Pause): void {
     if (this.#settling !== null) clearTimeout(this.#settling);
     this.#settling = this.#waitUntil(this.#last.steadyAt + SETTLE_MS);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -51,6 +51,13 @@
     registers: [this.registry],
   });
 
+  readonly eventLoopDelay = new Histogram({
+    name: 'almondhoist_event_loop_delay_seconds',
+    help: 'Delay of a regular timer, which handled events cause',
+    buckets: [...DURATION_BUCKETS_S],
+    registers: [this.registry],
+  });
+
   readonly policyVersion = new Gauge({
     name: 'almondhoist_policy_version',
     help: 'Version of the policy in force',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,15 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultAsync } from 'neverthrow';
-import { closedReason, extractIp, findInstance } from '../core/directory/directory.js';
-import type { Instance } from '../core/directory/instance.js';
+import { closedReason, findInstance } from '../core/directory/directory.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
 import { formatFault, type Fault } from '../core/errors/fault.js';
-import type { Dialect } from '../core/exchange/dialect.js';
-import type { MeshCall } from '../core/exchange/mesh-call.js';
-import type { Log } from '../core/logs/log-entry.js';
-import type { Clock, Milliseconds } from '../core/model/time.js';
-import type { ValueDecoder } from '../core/publications/interpretation.js';
-import type { StoreReader } from '../core/publications/store-reply.js';
+import type { Milliseconds } from '../core/model/time.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
 import { CrashTask } from '../runtime/crash-task.js';
 import { listen } from '../runtime/listen.js';
@@ -19,14 +13,14 @@
 import { DispatchTask } from './dispatch-task.js';
 import { EntryTask } from './entry-task.js';
 import { FrameRouter } from './frame-router.js';
-import { callOwnGate, callPeerGate, type GateCall } from './gate-call.js';
+import { GateCaller } from './gate-caller.js';
 import { GateServer } from './gate-server.js';
 import { LoadTask } from './load-task.js';
 import { MeshTask, type MeshEvent } from './mesh-task.js';
 import { PauseWatch, type Pause } from './pause-watch.js';
 import { PeerTable } from './peer-table.js';
 import { QuotaTask } from './quota-task.js';
-import { createReadyServer, type ReadyPaths } from './ready-server.js';
+import { createReadyServer } from './ready-server.js';
 import { RequestListener } from './request-listener.js';
 import { RetryTask } from './retry-task.js';
 import {
@@ -35,22 +29,9 @@
   waitForDrain,
   type PlannedStop,
 } from './graceful-stop.js';
+import type { SidecarDependencies } from './sidecar-dependencies.js';
 import { SidecarMetrics } from './sidecar-metrics.js';
 
-/** External dependencies of a node on the platform. */
-export interface SidecarDependencies {
-  readonly clock: Clock;
-  /** @returns the time of day in milliseconds */
-  readonly timeOfDay: () => Milliseconds;
-  /** @returns a fraction at least 0 and below 1 */
-  readonly random: () => number;
-  readonly log: Log & { readonly flush: () => void };
-  readonly dialect: Dialect;
-  readonly store: StoreReader;
-  readonly decodeValue: ValueDecoder;
-  readonly paths: ReadyPaths;
-}
-
 const MAX_FRAME_BYTES = 134_217_728;
 
 /** Fraction of the memory limit that buffered request bodies may use. */
@@ -145,6 +126,7 @@
     this.#pauseWatch = new PauseWatch({
       clock,
       timeOfDay: dependencies.timeOfDay,
+      onCheck: (lateMs) => this.#metrics.eventLoopDelay.observe(lateMs / 1000),
       onPause: (pause) => this.#handlePause(pause),
       onSettled: () => [this.#gate, this.#requestListener].forEach((task) => task.release()),
     });
@@ -328,6 +310,12 @@
 
   #createEntry(): EntryTask {
     const { clock, random } = this.#dependencies;
+    const gates = new GateCaller({
+      gate: this.#gate,
+      ownAddress: this.#backendAddress,
+      mesh: this.#mesh,
+      peers: this.#peers,
+    });
     return new EntryTask({
       clock,
       random,
@@ -344,8 +332,8 @@
         retryDelayMs: (route) => this.#loadTask.chooseRetryAfterMs(route),
       },
       directory: () => this.#controlPath.directory,
-      send: (instance, call) => this.#callGate(instance, call),
-      isReachable: (instance) => this.#isReachable(instance),
+      send: (instance, call) => gates.call(instance, call),
+      isReachable: (instance) => gates.isReachable(instance),
       acquireRetry: (service) => {
         const isGranted = this.#retryTask.acquire(service);
         this.#metrics.retries.inc({ granted: String(isGranted) });
@@ -366,19 +354,6 @@
     return `${host}:${port}`;
   }
 
-  #callGate(instance: Instance, call: MeshCall): GateCall {
-    return instance.address === this.#backendAddress
-      ? callOwnGate(this.#gate, call)
-      : callPeerGate(this.#mesh, this.#peers.addressOf(extractIp(instance.address)), call);
-  }
-
-  #isReachable({ address }: Instance): boolean {
-    return (
-      address === this.#backendAddress ||
-      this.#peers.isReachable(this.#peers.addressOf(extractIp(address)))
-    );
-  }
-
   #createControlPath(): ControlPath {
     const { clock, random, store, decodeValue } = this.#dependencies;
     return new ControlPath({
@@ -439,6 +414,9 @@
       case 'frame-invalid':
         this.#reportEvent('peerFrameInvalid', { peer: 'a peer', reason: event.reason });
         break;
+      case 'calls-late':
+        this.#reportEvent('callsLate', this.#frameRouter.describeLateCalls(event.late, event.link));
+        break;
       case 'incoming-link-closed':
         this.#frameRouter.removeLink(event.link);
         break;
--- a/test/sidecar/pause-watch.test.ts
+++ b/test/sidecar/pause-watch.test.ts
@@ -12,6 +12,7 @@
   const watch = new PauseWatch({
     clock: { now: () => steadyMs },
     timeOfDay: () => dayMs,
+    onCheck: () => {},
     onPause: (pause) => pauses.push(pause),
     onSettled: () => settled.push(steadyMs),
   });
