--- a/standin/host-process.ts
+++ b/standin/host-process.ts
@@ -1,8 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { writeFile } from 'node:fs/promises';
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { request, type Dispatcher } from 'undici';
--- a/test/sidecar/dispatch-cancel.test.ts
+++ b/test/sidecar/dispatch-cancel.test.ts
@@ -1,85 +1,9 @@
 import assert from 'node:assert/strict';
-import { test, type TestContext } from 'node:test';
+import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { httpDialect } from '../../platform/http-dialect.js';
-import type { MeshCall } from '../../src/core/exchange/mesh-call.js';
-import type { Repeatability } from '../../src/core/policy/policy.js';
-import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
-import { DispatchTask } from '../../src/sidecar/dispatch-task.js';
-import { listenOn } from '../../standin/host-process.js';
-import { PlatformBackend } from '../../standin/platform-backend.js';
+import type { DispatchTask } from '../../src/sidecar/dispatch-task.js';
 import { waitFor } from './fleet.js';
-
-const INSTANCE = 'i-1';
-
-function callOf(requestId: string, repeatability: Repeatability): MeshCall {
-  return {
-    requestId,
-    route: 'order',
-    service: 'stock',
-    instance: INSTANCE,
-    origin: 'desk',
-    account: null,
-    rank: { isNested: false, accountPriority: 0, routePriority: 0 },
-    repeatability,
-    timeLeftMs: 3000,
-    objectiveLeftMs: 2000,
-    fingerprint: requestId,
-    method: 'GET',
-    path: '/order/1',
-    headers: [],
-    body: new Uint8Array(),
-  };
-}
-
-/** Starts a gate that knows its backend server to be warm. */
-async function startGate(
-  context: TestContext,
-): Promise<{ readonly gate: DispatchTask; readonly backend: PlatformBackend }> {
-  const backend = new PlatformBackend(INSTANCE);
-  const port = await listenOn(backend.server, '127.0.0.1');
-  const address = `127.0.0.1:${port}`;
-  const gate = new DispatchTask({
-    url: `http://${address}`,
-    clock: monotonicClock,
-    log: { write: () => {} },
-    dialect: httpDialect,
-    maxBufferedBytes: 1_000_000,
-    checkPause: () => {},
-    downstreamPressure: () => 0,
-    onBackendCrash: () => {},
-    onCompleted: () => {},
-    onReply: () => {},
-    onViolation: ({ promise, detail }) => assert.fail(`${promise}: ${detail}`),
-  });
-  context.after(async () => {
-    await gate.close();
-    backend.server.close();
-    backend.server.closeAllConnections();
-  });
-  gate.update(
-    {
-      id: INSTANCE,
-      service: 'stock',
-      address,
-      zone: 'a',
-      slots: 10,
-      state: 'serving',
-      warmUpLeftMs: 0,
-      startedAtUnixMs: 1,
-    },
-    {
-      name: 'stock',
-      healthPath: '/healthz',
-      connections: 100,
-      warmUpRatePerSecond: 25,
-      warmUpMs: 3000,
-    },
-    null,
-  );
-  await waitFor('the health check', () => gate.isOpen);
-  return { gate, backend };
-}
+import { callOf, startGate } from './gate.js';
 
 async function runToEnd(gate: DispatchTask, requestId: string): Promise<void> {
   await new Promise((resolve) => {
--- a/test/sidecar/paused-process.test.ts
+++ b/test/sidecar/paused-process.test.ts
@@ -12,6 +12,9 @@
 const CALLER_PORT = 7401;
 const CALLS = 8;
 
+/** Too short to be told from a busy process by a late timer. */
+const SHORT_PAUSE_MS = 230;
+
 /** Longer than the bound of half a second after a departure, shorter than the check of links. */
 const PAUSE_MS = 700;
 
@@ -98,7 +101,7 @@
 }
 
 for (const path of ['/look/1', '/order/1'] as const) {
-  for (const pauseMs of [PAUSE_MS, LONG_PAUSE_MS]) {
+  for (const pauseMs of [SHORT_PAUSE_MS, PAUSE_MS, LONG_PAUSE_MS]) {
     test(`a gate paused for ${pauseMs} ms does not send ${path} on for callers that left`, async (t) => {
       // Guards against starting calls that waited unread while their callers left.
       const { gate, callAndLeave } = await startPair(t, path === '/look/1' ? 240 : 241);
@@ -114,19 +117,25 @@
     });
   }
 
-  test(`an entry paused while callers of ${path} leave does not send their requests on`, async (t) => {
-    // Guards against admitting requests that waited unread together with the end of their callers.
-    const { entry, gate, callAndLeave } = await startPair(t, path === '/look/1' ? 242 : 243);
-    entry.signalNode('SIGSTOP');
-    const left = Array.from({ length: CALLS }, (_, at) => callAndLeave(`p${at}`, path, 100));
-    await Promise.all([...left, sleep(PAUSE_MS)]);
-    entry.signalNode('SIGCONT');
-    await sleep(500);
-    assert.deepEqual(
-      gate.backend.runs.map(({ id }) => id),
-      [],
+  for (const pauseMs of [SHORT_PAUSE_MS, PAUSE_MS]) {
+    test(
+      `an entry paused for ${pauseMs} ms while callers of ${path} leave does not send their requests on`,
+      { todo: pauseMs === SHORT_PAUSE_MS },
+      async (t) => {
+        // Guards against admitting requests that waited unread together with the end of their callers.
+        const { entry, gate, callAndLeave } = await startPair(t, path === '/look/1' ? 242 : 243);
+        entry.signalNode('SIGSTOP');
+        const left = Array.from({ length: CALLS }, (_, at) => callAndLeave(`p${at}`, path, 100));
+        await Promise.all([...left, sleep(pauseMs)]);
+        entry.signalNode('SIGCONT');
+        await sleep(500);
+        assert.deepEqual(
+          gate.backend.runs.map(({ id }) => id),
+          [],
+        );
+      },
     );
-  });
+  }
 }
 
 test('a paused node serves again within a second', async (t) => {
