Take the time in which a link opens off the time of a call

Test: the time in which a link opens is taken off the time of a call. It fails without the change (more than 500 of 900 ms handed on after a wait of 400 ms).

--- a/src/sidecar/gate-call.ts
+++ b/src/sidecar/gate-call.ts
@@ -1,4 +1,4 @@
-import type { MeshCall } from '../core/exchange/mesh-call.js';
+import { afterDelay, type MeshCall } from '../core/exchange/mesh-call.js';
 import type { Clock } from '../core/model/time.js';
 import type { DispatchTask } from './dispatch-task.js';
 import type { LinkResult } from './mesh-link.js';
@@ -39,13 +39,18 @@
  * @param call - the call
  * @returns the call in flight
  */
-export function callPeerGate({ mesh }: PeerGateOptions, address: string, call: MeshCall): GateCall {
+export function callPeerGate(
+  { mesh, clock }: PeerGateOptions,
+  address: string,
+  call: MeshCall,
+): GateCall {
+  const builtAt = clock.now();
   let isCancelled = false;
   let cancelOnLink = (): void => {};
   const start = async (): Promise<LinkResult> => {
     const link = mesh.findOpenLink(address) ?? (await mesh.findOrOpenLink(address));
     if (link === null || isCancelled) return { kind: 'unsent' };
-    const { number, result } = link.call(call);
+    const { number, result } = link.call(afterDelay(call, clock.now() - builtAt));
     cancelOnLink = () => link.cancel(number);
     return result;
   };
--- a/test/sidecar/late-link.test.ts
+++ b/test/sidecar/late-link.test.ts
@@ -148,3 +148,15 @@
   assert.equal((await outcomeOf(next))?.kind, 'answered');
   assert.deepEqual(runIds(backend), ['e1', 'e2']);
 });
+
+test('the time in which a link opens is taken off the time of a call', async (t) => {
+  // Guards against counting the time to the deadline from the opening of a link.
+  const { proxy, backend, call } = await startPair(t);
+  proxy.hold();
+  const waiting = call({ ...callOf('f1', 'idempotent'), timeLeftMs: 900 });
+  await sleep(400);
+  proxy.release(0);
+  assert.equal((await outcomeOf(waiting))?.kind, 'answered');
+  const timeoutMs = Number(backend.runs[0]?.headers['timeout-ms']);
+  assert.ok(timeoutMs <= 500, `${timeoutMs} ms handed to the backend server`);
+});
