Take no answer without a length as whole on the own interface

On the own interface a body without a length that ended with its connection was passed on as whole (backend-answers.test.ts, red before). Both interfaces now use one check. An answer that is cut in its head was a failure there already.

--- a/src/runtime/backend-exchange.ts
+++ b/src/runtime/backend-exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { DispatchEnd } from '../core/admission/gate-message.js';
+import { isAnswerComplete } from '../core/exchange/answer-framing.js';
 import type { Call, Header } from '../core/model/call.js';
 import type { RequestId } from '../core/model/names.js';
 import type { Clock } from '../core/model/time.js';
@@ -142,10 +143,7 @@
 
   #answerEnd(): DispatchEnd {
     const body = Buffer.concat(this.#chunks);
-    const length = firstValue(this.#headers, 'content-length');
-    if (length !== null && this.#call.method !== 'HEAD' && Number(length) !== body.length) {
-      return { kind: 'failed', code: 'answerTruncated' };
-    }
+    if (!this.#isComplete(body)) return { kind: 'failed', code: 'answerTruncated' };
     const isShed = firstValue(this.#headers, NOT_RUN_HEADER) === 'true';
     if (isShed && this.#status === SERVICE_UNAVAILABLE) {
       return { kind: 'not-run', code: 'serverShed' };
@@ -157,6 +155,17 @@
     };
   }
 
+  #isComplete(body: Uint8Array): boolean {
+    const length = firstValue(this.#headers, 'content-length');
+    return isAnswerComplete({
+      method: this.#call.method,
+      status: this.#status,
+      contentLength: length === null ? null : Number(length),
+      isChunked: firstValue(this.#headers, 'transfer-encoding') !== null,
+      receivedBytes: body.length,
+    });
+  }
+
   #failedEnd(): DispatchEnd {
     if (this.#abortCode !== null) return { kind: 'failed', code: this.#abortCode };
     return { kind: 'failed', code: this.#status === 0 ? 'serverFailed' : 'answerTruncated' };
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from 'undici';
 import type { CodeName } from '../core/errors/registry.js';
 import type { AnswerBuffer, AnswerHold } from './answer-buffer.js';
+import { isAnswerComplete } from '../core/exchange/answer-framing.js';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { BackendHead } from '../core/exchange/incoming-request.js';
 import type { MeshCall } from '../core/exchange/mesh-call.js';
@@ -52,9 +53,6 @@
   'EPIPE',
 ]);
 
-/** Status codes of responses that have neither a content length nor a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Status codes that tell a caller that its request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -184,15 +182,14 @@
     return { kind: 'answered', head, body };
   }
 
-  /**
-   * A response without a content length ends when the backend server closes the connection, and
-   * a truncated one can end with an orderly close too. The two look the same, so a response that
-   * needs a content length and has none counts as truncated.
-   */
   #isComplete({ status }: BackendHead, body: Uint8Array): boolean {
-    const isLengthOptional =
-      this.#options.call.method === 'HEAD' || BODILESS_STATUSES.has(status) || this.#isChunked;
-    return isLengthOptional || this.#contentLength === body.length;
+    return isAnswerComplete({
+      method: this.#options.call.method,
+      status,
+      contentLength: this.#contentLength,
+      isChunked: this.#isChunked,
+      receivedBytes: body.length,
+    });
   }
 
   #end(end: ExchangeEnd): void {
--- a/test/runtime/backend-answers.test.ts
+++ b/test/runtime/backend-answers.test.ts
@@ -33,6 +33,12 @@
     `HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 17\r\n\r\n${PARTIAL_BODY}`,
   );
 };
+const SHORT_ANSWER_WITHOUT_LENGTH: Handler = (_, response) => {
+  response.socket?.end(`HTTP/1.1 200 OK\r\n\r\n${PARTIAL_BODY}`);
+};
+const SHORT_HEAD: Handler = (_, response) => {
+  response.socket?.end('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n');
+};
 const NOT_HTTP: Handler = (_, response) => {
   response.socket?.end(`${PARTIAL_BODY}\r\n\r\n`);
 };
@@ -62,6 +68,8 @@
 const CASES: readonly Case[] = [
   failingCase('short', SHORT_ANSWER, 3003),
   failingCase('short-chunked', SHORT_CHUNKED_ANSWER, 3003),
+  failingCase('short-without-length', SHORT_ANSWER_WITHOUT_LENGTH, 3003),
+  failingCase('short-head', SHORT_HEAD, 3002),
   failingCase('two-lengths', TWO_LENGTHS, 3002),
   failingCase('no-http', NOT_HTTP, 3002),
   failingCase('close', CLOSED_CONNECTION, 3002),
