Measure the utilization of the event loop, and say what told the hypotheses of SHORT apart

The gauge almondhoist_processor_utilization has the share of the time in which the event loop handles events.

Ruled out for the seconds with the failures: full slots at the scarcest service (40 to 90 of 101 in use).

--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -58,6 +58,12 @@
     registers: [this.registry],
   });
 
+  readonly processorUtilization = new Gauge({
+    name: 'almondhoist_processor_utilization',
+    help: 'Share of the time in which the event loop handled events, when it was last measured',
+    registers: [this.registry],
+  });
+
   readonly policyVersion = new Gauge({
     name: 'almondhoist_policy_version',
     help: 'Version of the policy in force',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -19,6 +19,7 @@
 import { MeshTask, type MeshEvent } from './mesh-task.js';
 import { PauseWatch, type Pause } from './pause-watch.js';
 import { PeerTable } from './peer-table.js';
+import { ProcessorWatch } from './processor-watch.js';
 import { QuotaTask } from './quota-task.js';
 import { ReadBarrier } from './read-barrier.js';
 import { createReadyServer } from './ready-server.js';
@@ -75,6 +76,8 @@
 
   readonly #entry: EntryTask;
 
+  readonly #processorWatch: ProcessorWatch;
+
   readonly #loadTask: LoadTask;
 
   readonly #quotaTask: QuotaTask;
@@ -119,6 +122,7 @@
       readBarrier: this.#readBarrier,
       onEvent: (event) => this.#handleMeshEvent(event),
     });
+    this.#processorWatch = new ProcessorWatch(clock);
     this.#loadTask = new LoadTask({ clock, random });
     this.#retryTask = new RetryTask({
       clock,
@@ -403,6 +407,8 @@
     this.#metrics.storeReader.set(this.#controlPath.feed.source.kind === 'store' ? 1 : 0);
     const { pressure, downstreamPressure } = this.#gate.load;
     this.#metrics.pressure.set(Math.max(pressure, downstreamPressure));
+    this.#processorWatch.measure();
+    this.#metrics.processorUtilization.set(this.#processorWatch.utilization);
   }
 
   #handleMeshEvent(event: MeshEvent): void {
