--- a/test/core/shedding/call-graph.ts
+++ b/test/core/shedding/call-graph.ts
@@ -1,4 +1,4 @@
-import type { Rank } from '../../../src/core/exchange/mesh-call.js';
+import type { GateLoad, MeshOutcome, Rank } from '../../../src/core/exchange/mesh-call.js';
 import type { PrefixRoute } from '../../../src/core/policy/policy.js';
 import { EventQueue, seededRandom } from './event-queue.js';
 import {
@@ -90,22 +90,24 @@
     const deadline = Math.min(parentDeadline, this.#eventQueue.now + kind.timeoutMs);
     const first = Math.floor(this.#random() * gates.length);
     const subject = { route: routeOf(kind), rank };
+    const { processorMs = 0 } = this.#options;
     const attempt = (tried: number): void => {
       const gate = gates[(first + tried) % gates.length];
       if (gate === undefined) return;
+      const handleReply = (outcome: MeshOutcome, load: GateLoad): void => {
+        entry.load.send({ kind: 'call-ended', rankedRequest: subject, load, outcome });
+        const isLast = tried + 1 >= Math.min(GATES_TRIED, gates.length);
+        if (outcome.kind === 'refused' && !isLast) attempt(tried + 1);
+        else
+          this.#eventQueue.schedule(LINK_MS, () =>
+            onEnd(outcome.kind === 'answered' && outcome.status === 200),
+          );
+      };
       this.#eventQueue.schedule(LINK_MS, () =>
-        gate.take(kind, rank, deadline, (outcome, load) => {
-          entry.load.send({ kind: 'call-ended', rankedRequest: subject, load, outcome });
-          const isLast = tried + 1 >= Math.min(GATES_TRIED, gates.length);
-          if (outcome.kind === 'refused' && !isLast) attempt(tried + 1);
-          else
-            this.#eventQueue.schedule(LINK_MS, () =>
-              onEnd(outcome.kind === 'answered' && outcome.status === 200),
-            );
-        }),
+        gate.processor.handle(processorMs, () => gate.take(kind, rank, deadline, handleReply)),
       );
     };
-    attempt(0);
+    entry.processor.handle(processorMs, () => attempt(0));
   };
 
   #sendRoot(entry: GraphNode, name: string): void {
--- a/test/core/shedding/event-queue.ts
+++ b/test/core/shedding/event-queue.ts
@@ -6,8 +6,19 @@
 
   schedule(delayMs: number, run: () => void): void {
     const at = this.now + delayMs;
-    const index = this.#due.findIndex((other) => other.at > at);
-    this.#due.splice(index < 0 ? this.#due.length : index, 0, { at, run });
+    this.#due.splice(this.#firstAfter(at), 0, { at, run });
+  }
+
+  /** Index of the first event after an instant, by binary search. */
+  #firstAfter(at: number): number {
+    let low = 0;
+    let high = this.#due.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((this.#due[middle]?.at ?? at) > at) high = middle;
+      else low = middle + 1;
+    }
+    return low;
   }
 
   runUntil(untilMs: number): void {
--- a/test/core/shedding/graph-node.ts
+++ b/test/core/shedding/graph-node.ts
@@ -13,6 +13,7 @@
 import type { GateLoad, MeshOutcome, Rank } from '../../../src/core/exchange/mesh-call.js';
 import { LoadTask } from '../../../src/sidecar/load-task.js';
 import type { EventQueue } from './event-queue.js';
+import { Processor } from './processor.js';
 
 /** A kind of call: its service, its duration and the calls it makes before its own work. */
 export interface CallKind {
@@ -48,6 +49,8 @@
   /** All backend servers are cold until this time; 0 means that they start warm. */
   readonly coldUntilMs: number;
   readonly coldRatePerSecond: number;
+  /** Processor time of a node for each call that it sends or receives; 0 when it is plenty. */
+  readonly processorMs?: number;
 }
 
 /** Factor on the duration of a call while the backend server is cold. */
@@ -89,6 +92,8 @@
 export class GraphNode {
   readonly load: LoadTask;
 
+  readonly processor: Processor;
+
   readonly #context: SimulationContext;
 
   readonly #pending = new Map<CallId, PendingCall>();
@@ -103,6 +108,7 @@
     this.#state = createDispatchState({ slots, coldRatePerSecond: options.coldRatePerSecond });
     // The backend server has answered before, without a limit.
     this.#send({ kind: 'limit-stated', statement: { limit: { kind: 'none' }, sentAt: 0 } });
+    this.processor = new Processor(eventQueue);
     this.load = new LoadTask({ clock: { now: () => eventQueue.now }, random });
     const { coldUntilMs } = options;
     const condition: Condition =
