Answer the requests that are still open when a stopping node exits

One that was taken before may still run at the exit; its connection was closed without an answer.

Change: at the exit each open request is answered by what is known of it. One that is not at a gate, or whose gate has certainly not started it, is refused as not run (503); any other one is a failure that may have run (502, [3011]).

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -379,6 +379,13 @@
     hint: 'Report it with the log line.',
     httpStatus: 500,
   },
+  stopBroke: {
+    number: 3011,
+    title: 'Ended by the stop of the node',
+    message: 'the node stopped before the response arrived; the request may have run',
+    hint: 'Find out which request takes longer than a stop; its outcome is not known.',
+    httpStatus: 502,
+  },
   peerFrameInvalid: {
     number: 4001,
     title: 'Invalid peer frame',
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -213,11 +213,13 @@
    * server, the call is aborted only when it is idempotent; any other one runs to its end.
    *
    * @param callId - identifier of the call
+   * @returns whether the call certainly has not run and will not run
    */
-  cancel(callId: CallId): void {
+  cancel(callId: CallId): boolean {
     const found = this.#pendingCalls.get(callId);
-    if (found === undefined) return;
+    if (found === undefined) return false;
     const run = this.#runningCalls.get(callId);
+    const isNotRun = run === undefined || !run.exchange.isStarted;
     if (run === undefined) {
       this.#removePending(callId);
       this.#logDecision(found, null, 'cancelled', 0);
@@ -227,6 +229,7 @@
     } else if (found.call.repeatability === 'idempotent') {
       run.exchange.abort('cancelledRunning');
     }
+    return isNotRun;
   }
 
   /** Stops the health checks and closes the connections to the backend server. */
--- a/src/sidecar/entry-task.ts
+++ b/src/sidecar/entry-task.ts
@@ -72,7 +72,8 @@
 
   #leavingInstances: LeavingInstances = new Map();
 
-  #openRequests = 0;
+  /** Requests that have no answer yet. */
+  readonly #open = new Set<PlacedRequest>();
 
   /**
    * @param options - the node's other tasks
@@ -83,7 +84,7 @@
 
   /** @returns the number of requests that have no answer yet */
   get openRequests(): number {
-    return this.#openRequests;
+    return this.#open.size;
   }
 
   /**
@@ -120,9 +121,19 @@
     );
   }
 
+  /** Ends all open requests, for an exit of the node: each is answered by what is known of it. */
+  endAll(): void {
+    this.#open.forEach((placed) => {
+      const isNotRun = this.#cancelGateCall(placed, 'abandoned');
+      const mayHaveRun = placed.history.hasPossiblyRun || !isNotRun;
+      const lastCode = mayHaveRun ? 'stopBroke' : 'nodeLeaving';
+      this.#end(placed, finalOutcome({ ...placed.history, hasPossiblyRun: mayHaveRun, lastCode }));
+    });
+  }
+
   #place(admitted: AdmittedRequest): Exchange {
     const placed = new PlacedRequest(admitted);
-    this.#openRequests += 1;
+    this.#open.add(placed);
     this.#options.onAdmitted(admitted.service);
     const leftMs = admitted.deadline - this.#options.clock.now() + DEADLINE_GRACE_MS;
     placed.setTimer(
@@ -142,7 +153,7 @@
   #end(placed: PlacedRequest, outcome: MeshOutcome): void {
     const finalResult = this.#withRetryAfter(placed.admitted, outcome);
     if (!placed.end(finalResult)) return;
-    this.#openRequests -= 1;
+    this.#open.delete(placed);
     this.#logPlaced(placed, finalResult);
   }
 
@@ -167,17 +178,19 @@
 
   #cancel(placed: PlacedRequest): void {
     if (!placed.end(null)) return;
-    this.#openRequests -= 1;
+    this.#open.delete(placed);
     this.#cancelGateCall(placed, 'abandoned');
     this.#logPlaced(placed, { kind: 'failed', code: 'cancelledRunning' });
   }
 
-  #cancelGateCall({ current }: PlacedRequest, result: 'failed' | 'abandoned'): void {
-    if (current === null) return;
+  /** Returns whether the call certainly has not run and will not run. */
+  #cancelGateCall({ current }: PlacedRequest, result: 'failed' | 'abandoned'): boolean {
+    if (current === null) return true;
     const { call, instance } = current;
-    call.cancel();
+    const isNotRun = call.cancel();
     const now = this.#options.clock.now();
     this.#setView(instance, recordEnd(this.#viewOf(instance), result, null, now));
+    return isNotRun;
   }
 
   async #sendUntilFinal(placed: PlacedRequest): Promise<MeshOutcome> {
--- a/src/sidecar/gate-call.ts
+++ b/src/sidecar/gate-call.ts
@@ -7,7 +7,8 @@
 /** A call in flight at a gate. */
 export interface GateCall {
   readonly result: Promise<LinkResult>;
-  readonly cancel: () => void;
+  /** Cancels the call, and returns whether it certainly has not run and will not run. */
+  readonly cancel: () => boolean;
 }
 
 /**
@@ -46,10 +47,12 @@
 ): GateCall {
   const builtAt = clock.now();
   let isCancelled = false;
+  let isSent = false;
   let cancelOnLink = (): void => {};
   const start = async (): Promise<LinkResult> => {
     const link = mesh.findOpenLink(address) ?? (await mesh.findOrOpenLink(address));
     if (link === null || isCancelled) return { kind: 'unsent' };
+    isSent = true;
     const { number, result } = link.call(afterDelay(call, clock.now() - builtAt));
     cancelOnLink = () => link.cancel(number);
     return result;
@@ -59,6 +62,7 @@
     cancel: () => {
       isCancelled = true;
       cancelOnLink();
+      return !isSent;
     },
   };
 }
--- a/src/sidecar/graceful-stop.ts
+++ b/src/sidecar/graceful-stop.ts
@@ -67,3 +67,13 @@
     await sleep(STOP_POLL_INTERVAL_MS);
   }
 }
+
+/**
+ * Answers the requests that are still open at the exit, and waits until the answers are written.
+ *
+ * @param endAll - answers each open request
+ */
+export async function answerOpenRequests(endAll: () => void): Promise<void> {
+  endAll();
+  await sleep(ANSWER_MARGIN_MS);
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -26,6 +26,7 @@
 import { RequestListener } from './request-listener.js';
 import { RetryTask } from './retry-task.js';
 import {
+  answerOpenRequests,
   canServeUntil,
   GATE_CLOSE_DELAY_MS,
   waitForDrain,
@@ -244,6 +245,7 @@
     await waitForDrain({ clock, stop, openRequests: () => this.#openRequests });
     const isDrained = this.#openRequests === 0;
     this.#reportEvent('nodeStopped', { open: this.#openRequests });
+    if (!isDrained) await answerOpenRequests(() => this.#entry.endAll());
     await this.#close();
     return isDrained;
   }
