Estimate the wait of a root request below its reserve without the nested calls ahead

Members' directory lookups were refused at the gates beside the finder servers although a tenth of the slots is kept for such requests.

Cause: the gate starts a root request that is below the reserve before any nested call, but estimated its wait behind all of them, and refused it for that.

Test: a root request below its reserve is not refused for the nested calls that wait (red before).

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -265,8 +265,11 @@
   now: Instant,
 ): Milliseconds {
   const limit = dispatchLimit(state);
+  // A root request below its reserve starts before the nested calls that wait.
+  const goesFirst = !isNested && isRootBelowReserve(state, now);
+  const competing = goesFirst ? ahead.filter(({ rank }) => !rank.isNested) : ahead;
   const slotWaitMs =
-    (Math.max(0, state.running.size + ahead.length + 1 - limit) / limit) * state.serviceTimeMs;
+    (Math.max(0, state.running.size + competing.length + 1 - limit) / limit) * state.serviceTimeMs;
   return startRates(state).reduce(
     (longestMs, rate) =>
       Math.max(longestMs, estimateRateWait(state.starts, rate, ahead, isNested, now)),
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -210,3 +210,25 @@
   gate.send({ kind: 'released' }, 60);
   assert.deepEqual(gate.started, [2]);
 });
+
+test('a root request below its reserve is not refused for the nested calls that wait', () => {
+  // Guards against a reserve of slots that no root request reaches while nested calls queue up.
+  const gate = warmGate(20);
+  for (let callId = 0; gate.refused.length === 0; callId += 1) gate.arrive(callId, NESTED, 0, 5000);
+  gate.arrive(9000, URGENT, 0, 500);
+  assert.ok(!gate.refused.includes(9000));
+  gate.send({ kind: 'ended', callId: 0, end: 'answered' }, 20);
+  assert.equal(gate.started.at(-1), 9000);
+});
+
+test('a gate whose node lacks processor time starts fewer calls than there are slots', () => {
+  // Guards against calls that wait unread in the sockets of a saturated node.
+  const gate = warmGate(20);
+  for (let callId = 0; callId < 19; callId += 1) gate.arrive(callId, NESTED, 0);
+  gate.send({ kind: 'processor-measured', utilization: 1, elapsedMs: 100 }, 0);
+  gate.arrive(100, NESTED, 0);
+  [0, 1].forEach((callId) => gate.send({ kind: 'ended', callId, end: 'answered' }, 10));
+  assert.ok(!gate.started.includes(100));
+  gate.send({ kind: 'processor-measured', utilization: 0.1, elapsedMs: 2000 }, 20);
+  assert.ok(gate.started.includes(100));
+});
