Report the pressure on a processor to requests that make nested calls

Members' directory lookups, which make no nested call, were refused at the entries although lookups of a lower rank, which use the processor of the same nodes six times as much, were still let in.

A gate now reports the pressure on its node's processor with that on the calls of its backend server. It reaches the routes whose requests fail further down, and those of a higher rank among them are spared while a lower one is let in.

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -168,8 +168,8 @@
     busy: state.running.size + state.queue.length,
     limit: reportedLimit(state),
     serviceTimeMs: state.serviceTimeMs,
-    pressure: Math.max(node.processor, currentPressure(state.pressure, now)),
-    downstreamPressure: node.downstream,
+    pressure: currentPressure(state.pressure, now),
+    downstreamPressure: Math.max(node.processor, node.downstream),
     isCold,
     isLeaving: state.isBackendLeaving,
   };
--- a/src/core/exchange/mesh-call.ts
+++ b/src/core/exchange/mesh-call.ts
@@ -44,12 +44,12 @@
   readonly limit: number;
   /** Mean run time of a request. */
   readonly serviceTimeMs: Milliseconds;
+  /** Load pressure from 0, where no request waits here, to 1, where most have to be refused. */
+  readonly pressure: number;
   /**
-   * Load pressure from 0, where no request waits here and the node has processor time to spare, to 1,
-   * where most have to be refused.
+   * Load pressure on the calls that the backend server makes, and on the processor of the node, of
+   * which they use the most; from 0 to 1.
    */
-  readonly pressure: number;
-  /** Load pressure on the calls that the backend server makes, from 0 to 1. */
   readonly downstreamPressure: number;
   readonly isCold: boolean;
   /** Whether the backend server states that it leaves. */
