Take calls of nodes of an earlier version as in time

During an upgrade node by node, a call without a time of sending would have had a delay that is not a number, and would have waited for an echo without the instant of its ping.

Calls, pings and echoes may now lack their instants.

--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -23,20 +23,23 @@
   readonly isSettled: boolean;
 }
 
-/** Frames that nodes exchange over a link. Each `sentAt` is on the clock of the sender. */
+/**
+ * Frames that nodes exchange over a link. Each `sentAt` is on the clock of the sender; nodes of an
+ * earlier version leave it out.
+ */
 export type MeshFrame =
   /** First frame on a link, sent by the node that opened it. */
   | {
       readonly kind: 'hello';
       readonly node: string;
       readonly address: string;
-      readonly sentAt: Instant;
+      readonly sentAt?: Instant | undefined;
     }
   | {
       readonly kind: 'call';
       readonly number: CallNumber;
       readonly call: MeshCall;
-      readonly sentAt: Instant;
+      readonly sentAt?: Instant | undefined;
     }
   | { readonly kind: 'cancel'; readonly number: CallNumber }
   | { readonly kind: 'reply'; readonly number: CallNumber; readonly reply: MeshReply }
@@ -54,6 +57,10 @@
   | { readonly kind: 'marks'; readonly marks: readonly CrashRecord[] }
   /** The sender no longer accepts new calls. */
   | { readonly kind: 'leaving' }
-  | { readonly kind: 'ping'; readonly sentAt: Instant }
+  | { readonly kind: 'ping'; readonly sentAt?: Instant | undefined }
   /** Echo of a ping, behind all that the sender had to send when it read the ping. */
-  | { readonly kind: 'pong'; readonly pingSentAt: Instant; readonly sentAt: Instant };
+  | {
+      readonly kind: 'pong';
+      readonly pingSentAt?: Instant | undefined;
+      readonly sentAt?: Instant | undefined;
+    };
--- a/src/sidecar/late-call-filter.ts
+++ b/src/sidecar/late-call-filter.ts
@@ -67,9 +67,10 @@
   /**
    * Records the instant of the first frame of the peer.
    *
-   * @param peerInstant - when the peer sent it
+   * @param peerInstant - when the peer sent it, unless its version does not say so
    */
-  recordHello(peerInstant: Instant): void {
+  recordHello(peerInstant: Instant | undefined): void {
+    if (peerInstant === undefined) return;
     this.#peerClock = recordRoundTrip(this.#peerClock, { sentAt: this.#openedAt, peerInstant });
   }
 
@@ -113,6 +114,7 @@
    * @param pong - the echo of a ping
    */
   receivePong({ pingSentAt, sentAt: peerInstant }: PongFrame): void {
+    if (pingSentAt === undefined || peerInstant === undefined) return;
     this.#peerClock = recordRoundTrip(this.#peerClock, { sentAt: pingSentAt, peerInstant });
     if (this.#pingSentAt === null || pingSentAt < this.#pingSentAt) return;
     const confirmed = [...this.#held.values()];
@@ -133,7 +135,9 @@
     this.#late = { calls: 0, cancelled: 0, delayMs: 0 };
   }
 
+  /** Time for which a call was on its way; 0 from a node of an earlier version. */
   #measureDelay({ sentAt }: CallFrame): Milliseconds {
+    if (sentAt === undefined) return 0;
     const receivedAt = this.#options.clock.now();
     const before =
       this.#peerClock ?? recordRoundTrip(null, { sentAt: this.#openedAt, peerInstant: sentAt });
--- a/src/sidecar/mesh-link.ts
+++ b/src/sidecar/mesh-link.ts
@@ -170,7 +170,7 @@
     this.send({ kind: 'ping', sentAt });
   }
 
-  #sendPong(pingSentAt: Instant): void {
+  #sendPong(pingSentAt: Instant | undefined): void {
     this.send({ kind: 'pong', pingSentAt, sentAt: this.#options.clock.now() });
   }
 
