--- a/test/sidecar/late-call-filter.test.ts
+++ b/test/sidecar/late-call-filter.test.ts
@@ -31,6 +31,10 @@
     this.filter.recordHello(2 + AHEAD_MS);
   }
 
+  get numbers(): readonly CallNumber[] {
+    return this.delivered.map(([number]) => number);
+  }
+
   get longestTimeLeftMs(): number {
     return Math.max(...this.delivered.map(([, timeLeftMs]) => timeLeftMs));
   }
@@ -51,13 +55,10 @@
   const link = new RecordingFilter();
   link.receive(1, 100, 700);
   link.receive(2, 150, 701);
-  assert.deepEqual([link.delivered, link.pings], [[], [700]]);
+  assert.deepEqual([link.numbers, link.pings], [[], [700]]);
   assert.ok(link.filter.cancel(1));
   link.receivePong(700, 702, 704);
-  assert.deepEqual(
-    link.delivered.map(([number]) => number),
-    [2],
-  );
+  assert.deepEqual(link.numbers, [2]);
   assert.ok(link.longestTimeLeftMs <= CALL.timeLeftMs - (704 - 150));
   assert.deepEqual(
     link.late.map(({ calls, cancelled }) => [calls, cancelled]),
@@ -70,7 +71,7 @@
   const link = new RecordingFilter();
   link.receive(1, 100, 700);
   link.receivePong(650, 652, 701);
-  assert.deepEqual(link.delivered, []);
+  assert.deepEqual(link.numbers, []);
 });
 
 test('the calls of a closed link are dropped', () => {
@@ -79,7 +80,7 @@
   link.receive(1, 100, 700);
   link.filter.close();
   link.receivePong(700, 702, 704);
-  assert.deepEqual(link.delivered, []);
+  assert.deepEqual(link.numbers, []);
   assert.equal(link.late.length, 1);
 });
 
@@ -87,14 +88,11 @@
   // Guards against refusing the calls of a peer that was suspended, for good.
   const link = new RecordingFilter();
   link.receive(1, 1000 - 800, 1002);
-  assert.deepEqual(link.delivered, []);
+  assert.deepEqual(link.numbers, []);
   link.receivePong(1002, 1004 - 800, 1006);
-  assert.equal(link.delivered.length, 1);
+  assert.equal(link.numbers.length, 1);
   link.receive(2, 1010 - 800, 1012);
-  assert.deepEqual(
-    link.delivered.map(([number]) => number),
-    [1, 2],
-  );
+  assert.deepEqual(link.numbers, [1, 2]);
 });
 
 test('a call of a node of an earlier version is passed on at once', () => {
