--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -424,7 +424,7 @@
   }
 
   #measureProcessor(): void {
-    const use = this.#options.processorWatch.measure();
+    const use = this.#options.processorWatch.takeUse();
     if (use === null) return;
     const before = this.#task.state.processorLimit.kind;
     this.#task.send({ kind: 'processor-measured', ...use });
