Read a configuration part by part

Cause: one codec decoded the whole value, so the unknown kind 'download' of one route rejected the configuration at every node.

Change: platform/ reads each field on its own and reports what it cannot read; src/core/policy completes the policy. A request that may belong to an unreadable route or key gets 503 (2117), never 401 or 404.

Ruled out: keeping the previous version of an unreadable route, which would mix two versions.

--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -25,11 +25,7 @@
 
 function openSidecar(settings: SidecarSettings): Sidecar {
   const log = openLog(settings.node);
-  const { dialect, store, decodeValue, paths } = createPlatformConnection(
-    settings.storeAddress,
-    (key, reason) =>
-      log.write({ kind: 'event', code: 'publicationUnreadable', details: { key, reason } }),
-  );
+  const { dialect, store, decodeValue, paths } = createPlatformConnection(settings.storeAddress);
   return new Sidecar(settings, {
     clock: monotonicClock,
     timeOfDay: Date.now,
--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -273,6 +273,13 @@
     hint: 'Nothing to do; the directory of backend servers is updated within seconds.',
     httpStatus: 503,
   },
+  policyIncomplete: {
+    number: 2117,
+    title: 'Policy incomplete',
+    message: 'a route or a key of the policy could not be read, and the request may belong to it',
+    hint: 'Look for lines with code 4220; they name the parts that could not be read.',
+    httpStatus: 503,
+  },
   orderIdMissing: {
     number: 2201,
     title: 'Order identifier missing',
@@ -559,6 +566,12 @@
       'the processor of the node is {state} at a utilization of {utilization}; the gate runs at most {limit} calls',
     hint: 'Give the host more processor time, or spread its service over more hosts.',
   },
+  partUnreadable: {
+    number: 4220,
+    title: 'Part of a published value unreadable',
+    message: 'the part {part} of the value {key} cannot be read: {reason}; the other parts hold',
+    hint: 'Correct the program that writes the value, or upgrade the nodes if they are older than it.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -65,6 +65,11 @@
   return { code, retryAfterMs, details };
 }
 
+/** Refusal of a request that an unreadable part of the policy may allow. */
+function gapRefusal(details: Details): EntryRefusal {
+  return refusal('policyIncomplete', DEFAULT_RETRY_AFTER_MS, details);
+}
+
 /** A request whose route and account are known. */
 interface IdentifiedRequest {
   readonly requestId: RequestId;
@@ -82,13 +87,19 @@
   if (lookup === null) return err(refusal('notReady', DEFAULT_RETRY_AFTER_MS));
   const { requestId } = request;
   if (requestId === null || requestId === '') return err(refusal('requestMalformed'));
-  const policyDetails: Details = { version: lookup.policy.version };
+  const { accounts, gaps, version } = lookup.policy;
+  const policyDetails: Details = { version };
   const route = findRoute(lookup, request.host, request.path);
-  if (route === null) return err(refusal('noRoute', 0, { ...policyDetails, host: request.host }));
-  const isOpen = route.access === 'open' || lookup.policy.accounts === null;
+  if (route === null) {
+    const details: Details = { ...policyDetails, host: request.host };
+    return err(gaps.routes ? gapRefusal(details) : refusal('noRoute', 0, details));
+  }
+  const isOpen = route.access === 'open' || accounts === null;
   const account = request.key === null ? null : (lookup.accounts.get(request.key) ?? null);
   if (!isOpen && request.key === null) return err(refusal('keyMissing', 0, policyDetails));
-  if (!isOpen && account === null) return err(refusal('keyUnknown', 0, policyDetails));
+  if (!isOpen && account === null) {
+    return err(gaps.keys ? gapRefusal(policyDetails) : refusal('keyUnknown', 0, policyDetails));
+  }
   return ok({ requestId, request, route, account });
 }
 
--- a/src/core/policy/policy.ts
+++ b/src/core/policy/policy.ts
@@ -62,6 +62,14 @@
   readonly idleTimeoutMs: Milliseconds;
 }
 
+/** Kinds of parts that were published but could not be read. */
+export interface PolicyGaps {
+  /** Whether a route is missing, so that a request without a route may have one. */
+  readonly routes: boolean;
+  /** Whether keys are missing, so that a key without an account may have one. */
+  readonly keys: boolean;
+}
+
 /** Routing and limits set by the operators; a version is applied as a whole. */
 export interface Policy {
   readonly version: number;
@@ -70,4 +78,5 @@
   /** Null when requests carry no keys. */
   readonly accounts: readonly QuotaAccount[] | null;
   readonly limits: CallerLimits;
+  readonly gaps: PolicyGaps;
 }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -3,7 +3,7 @@
 import type { CodeName, Details } from '../core/errors/registry.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { Policy } from '../core/policy/policy.js';
-import { interpret, type ValueDecoder } from '../core/publications/interpretation.js';
+import { decodeOnce, interpret, type ValueDecoder } from '../core/publications/interpretation.js';
 import {
   applyChanges,
   applyListing,
@@ -11,7 +11,7 @@
   emptyMirror,
   type Mirror,
 } from '../core/publications/mirror.js';
-import type { Publication } from '../core/publications/publication.js';
+import type { Publication, PublishedValue } from '../core/publications/publication.js';
 import type { Source } from '../core/publications/source.js';
 import type { StoreReader, StoreReply } from '../core/publications/store-reply.js';
 import type { PublicationStatus, PublishedChanges } from '../core/exchange/mesh-frame.js';
@@ -69,6 +69,8 @@
 export class PublicationTask {
   readonly #options: PublicationTaskOptions;
 
+  readonly #decode: (publication: Publication) => PublishedValue | null;
+
   #mirror: Mirror = emptyMirror;
 
   #policy: Policy | null = null;
@@ -99,6 +101,7 @@
    */
   constructor(options: PublicationTaskOptions) {
     this.#options = options;
+    this.#decode = decodeOnce(options.decodeValue, options.report);
   }
 
   /** @returns the known revision, and whether the store cannot be read */
@@ -275,7 +278,7 @@
     next.publications.forEach((publication, key) => {
       const was = before.publications.get(key);
       const isRemoved = publication.text === null && was !== undefined && was.text !== null;
-      if (!isRemoved || this.#options.decodeValue(was)?.kind !== 'instance') return;
+      if (!isRemoved || this.#decode(was)?.kind !== 'instance') return;
       this.#heldRemovals.set(key, { until, was });
       this.#options.report('lapseHeld', { key, holdMs: LAPSE_HOLD_MS });
       setTimeout(() => this.#emitView(), LAPSE_HOLD_MS + 1);
@@ -292,9 +295,8 @@
       if (isBack || now >= until) this.#heldRemovals.delete(key);
       else publications.set(key, was);
     });
-    const { decodeValue, changed } = this.#options;
-    const view = interpret({ ...this.#mirror, publications }, decodeValue, this.#policy);
+    const view = interpret({ ...this.#mirror, publications }, this.#decode, this.#policy);
     this.#policy = view.policy;
-    changed(view.policy, view.directory);
+    this.#options.changed(view.policy, view.directory);
   }
 }
--- a/test/core/policy/policy.test.ts
+++ b/test/core/policy/policy.test.ts
@@ -29,6 +29,7 @@
   services: [],
   accounts: null,
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  gaps: { routes: false, keys: false },
 };
 
 test('the route with the longest prefix that matches host and path is chosen', () => {
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Fault } from '../../src/core/errors/fault.js';
+import type { Publication } from '../../src/core/publications/publication.js';
 import { httpDialect } from '../../platform/http-dialect.js';
-import { createValueDecoder } from '../../platform/published-values.js';
+import { decodeValue } from '../../platform/published-values.js';
 import { parsePlatformSettings } from '../../platform/settings.js';
 import { formatSettingsFile } from '../../standin/platform-settings.js';
 import { valueOf } from '../results.js';
@@ -48,7 +49,8 @@
 test('a published value that cannot be decoded is reported and decoded to null', () => {
   // Guards against one malformed entry that makes the others unusable.
   const reported: string[] = [];
-  const read = createValueDecoder((key) => reported.push(key));
+  const read = (publication: Publication) =>
+    decodeValue(publication, (_code, { key }) => reported.push(String(key)));
   const values = ['{', '{}', '{"address":"a","info":{"service":1},"status":{}}', 'null'];
   values.forEach((text, at) => {
     assert.equal(read({ key: `servers/${at}`, revision: 1, text }), null);
@@ -92,8 +94,10 @@
   test(`an entry ${name} is reported briefly and names no backend server`, () => {
     // Guards against one odd entry of another writer that ends the node or stops its directory.
     const reasons: string[] = [];
-    const decode = createValueDecoder((_key, reason) => reasons.push(reason));
-    assert.equal(decode({ key: 'servers/odd', revision: 1, text }), null);
+    const decoded = decodeValue({ key: 'servers/odd', revision: 1, text }, (_code, { reason }) =>
+      reasons.push(String(reason)),
+    );
+    assert.equal(decoded, null);
     assert.equal(reasons.length, 1);
     assert.ok(reasons.every(({ length }) => length <= 300));
   });
--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -212,9 +212,7 @@
       memoryBytes: 350_000_000,
       retryBudget: { ratio: 0.2, slack: 49, windowMs: 10_000 },
     };
-    const platform = createPlatformConnection(settings.storeAddress, (key, reason) =>
-      log.push({ kind: 'event', code: 'publicationUnreadable', details: { key, reason } }),
-    );
+    const platform = createPlatformConnection(settings.storeAddress);
     const node = new Sidecar(settings, {
       clock: monotonicClock,
       timeOfDay: Date.now,
