Expect a gate without a recent report to be like the others of its service

Callers of a fast service never reached a backend server that joined: a gate without a report of the last 2 s was expected to take 50 ms, while the gates of the services with 15 to 25 ms of work report less, so it was never chosen and never reported. The same kept a gate out of use once its report was old.

Ruled out: a lower fixed time, which would send everything to a joining server of a slow service.

Shown by: test 'a gate without a recent report gets its share beside fast gates', 0 of 200 choices before.

--- a/src/core/placement/choose-gate.ts
+++ b/src/core/placement/choose-gate.ts
@@ -1,4 +1,5 @@
 import type { Instance } from '../directory/instance.js';
+import type { GateLoad } from '../exchange/mesh-call.js';
 import type { ZoneName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import { isStalled, initialGateView, type GateView } from './gate-view.js';
@@ -6,7 +7,7 @@
 /** A load report older than this is ignored. */
 const LOAD_LIFETIME_MS: Milliseconds = 2000;
 
-/** Service time assumed for a gate without a recent load report. */
+/** Service time assumed while no gate of a service has reported its load recently. */
 const DEFAULT_SERVICE_TIME_MS: Milliseconds = 50;
 
 /** The expected time in another zone is multiplied by this, so a gate there has to be faster. */
@@ -40,13 +41,35 @@
   readonly scoreMs: Milliseconds;
 }
 
-function expectedTime(instance: Instance, view: GateView, options: ChoiceOptions): Milliseconds {
+function recentLoad(view: GateView, now: Instant): GateLoad | null {
+  return now - view.loadReceivedAt < LOAD_LIFETIME_MS ? view.load : null;
+}
+
+/**
+ * Mean service time of the gates with a recent report. The others are expected to be like them: a
+ * fixed time would keep a gate of a fast service unused once its report is old, and a new one for
+ * ever.
+ */
+function typicalServiceTime({ candidates, views, now }: ChoiceOptions): Milliseconds {
+  const reported = candidates.flatMap(({ id }) => {
+    const view = views.get(id);
+    return (view === undefined ? null : recentLoad(view, now))?.serviceTimeMs ?? [];
+  });
+  if (reported.length === 0) return DEFAULT_SERVICE_TIME_MS;
+  return reported.reduce((sum, serviceTimeMs) => sum + serviceTimeMs, 0) / reported.length;
+}
+
+function expectedTime(
+  instance: Instance,
+  view: GateView,
+  typicalMs: Milliseconds,
+  options: ChoiceOptions,
+): Milliseconds {
   const { now, zone } = options;
-  const isFresh = now - view.loadReceivedAt < LOAD_LIFETIME_MS;
-  const load = isFresh ? view.load : null;
+  const load = recentLoad(view, now);
   const limit = load?.limit ?? instance.slots;
   const busy = load === null ? view.outstanding : load.busy + view.sentSinceLoad;
-  const serviceTimeMs = load?.serviceTimeMs ?? DEFAULT_SERVICE_TIME_MS;
+  const serviceTimeMs = load?.serviceTimeMs ?? typicalMs;
   const utilization = busy / limit;
   const loadFactor =
     utilization < BUSY_UTILIZATION
@@ -88,8 +111,9 @@
   };
   const local = pickTwo(pool.filter(({ zone }) => zone === options.zone));
   const remote = pickTwo(pool.filter(({ zone }) => zone !== options.zone));
+  const typicalMs = typicalServiceTime(options);
   return [...local, ...remote].reduce<ScoredInstance | null>((best, instance) => {
-    const scoreMs = expectedTime(instance, viewOf(instance), options);
+    const scoreMs = expectedTime(instance, viewOf(instance), typicalMs, options);
     return best === null || scoreMs < best.scoreMs ? { instance, scoreMs } : best;
   }, null);
 }
--- a/test/core/placement/placement.test.ts
+++ b/test/core/placement/placement.test.ts
@@ -130,6 +130,21 @@
   assert.equal(counts.get('3'), 200);
 });
 
+test('a gate without a recent report gets its share beside fast gates', () => {
+  // Guards against a backend server that joins a fast service and is never used: its gate was
+  // expected to be slower than the others until it had reported.
+  const counts = countChoices(new Map([['1', view({ serviceTimeMs: 18, busy: 1 })]]));
+  assert.ok((counts.get('2') ?? 0) > 50, `${counts.get('2') ?? 0} of 200`);
+  const staleView = recordEnd(initialGateView, 'answered', load({ serviceTimeMs: 18 }), -5000);
+  const stale = countChoices(
+    new Map([
+      ['1', view({ serviceTimeMs: 18, busy: 1 })],
+      ['2', staleView],
+    ]),
+  );
+  assert.ok((stale.get('2') ?? 0) > 50, `${stale.get('2') ?? 0} of 200`);
+});
+
 test('failing and cold gates are not chosen while others have free capacity', () => {
   // Guards against a choice that trusts health checks more than the results of calls.
   const failing = Array.from({ length: 30 }).reduce<GateView>(
