Answer all requests of a pipelined connection in order before it ends

Callers saw: a malformed request behind two open ones had its 400 delivered in the place of the first answer, and both were lost; in a planned stop the first answer bore 'Connection: close' and the answers of the requests behind it, which had run, were thrown away; requests behind a body that was refused ran although the answer closed the connection; a chunk of 3,000 requests was handled at once.

Cause: the front end left the order to the HTTP server and wrote refusals past its queue of answers; each answer decided on its own whether it closes the connection.

Change: a pure decision per connection (src/core/exchange/caller-pipeline.ts) owned by a task (CallerConnection). It bounds running requests and held bytes, writes in order, and marks the last answer. A connection that ends reads on for up to 1 s, since closing with unread bytes resets it. Headers are checked for their timeout each second instead of each 30 s, and refused with 408.

Ruled out: limiting a connection to one request at a time, which would make the work of the next wait for a slow first one.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -280,6 +280,13 @@
     hint: 'Look for lines with code 4220; they name the parts that could not be read.',
     httpStatus: 503,
   },
+  requestIncomplete: {
+    number: 2118,
+    title: 'Request incomplete',
+    message: 'the headers of the request did not arrive in time',
+    hint: 'Send the request again; it has not run.',
+    httpStatus: 408,
+  },
   orderIdMissing: {
     number: 2201,
     title: 'Order identifier missing',
--- /dev/null
+++ b/src/sidecar/caller-connection.ts
@@ -0,0 +1,247 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { CodeName } from '../core/errors/registry.js';
+import {
+  decidePipeline,
+  emptyPipeline,
+  isReadable,
+  type CallerPipeline,
+  type PipelineConditions,
+  type PipelineEffect,
+  type PipelineEvent,
+  type PipelineMessage,
+  type RequestNumber,
+} from '../core/exchange/caller-pipeline.js';
+import type { MeshOutcome } from '../core/exchange/mesh-call.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import { Task } from '../core/task/task.js';
+import { refuseUnread, writeAnswer } from './answer-writer.js';
+import type { Exchange } from './entry-task.js';
+
+/** A request that has been read completely. */
+export interface CompleteRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Uint8Array;
+  readonly arrivedAt: Instant;
+  /** Called once, when the request is answered, cancelled or discarded. */
+  readonly release: () => void;
+}
+
+/** Options of a connection. */
+export interface CallerConnectionOptions {
+  readonly clock: Clock;
+  readonly socket: Socket;
+  readonly conditions: () => PipelineConditions;
+  readonly handle: (request: CompleteRequest) => Exchange;
+}
+
+interface OpenRequest {
+  readonly request: CompleteRequest;
+  readonly exchange: Exchange | null;
+  readonly outcome: MeshOutcome | null;
+}
+
+/** Time for the caller to read the last answer and to close its side of the connection. */
+const CLOSE_TIMEOUT_MS: Milliseconds = 1000;
+
+function outcomeBytes(outcome: MeshOutcome): number {
+  return outcome.kind === 'answered' ? outcome.body.length : 0;
+}
+
+/** Owns one connection of a caller and the requests on it that have not been answered. */
+export class CallerConnection {
+  readonly #options: CallerConnectionOptions;
+
+  readonly #pipeline: Task<CallerPipeline, PipelineMessage, PipelineEffect>;
+
+  readonly #open = new Map<RequestNumber, OpenRequest>();
+
+  readonly #openedAt: Instant;
+
+  #nextNumber: RequestNumber = 0;
+
+  #lastResponse: ServerResponse | null = null;
+
+  #isClosed = false;
+
+  /**
+   * @param options - the socket and the handler of requests
+   */
+  constructor(options: CallerConnectionOptions) {
+    this.#options = options;
+    this.#openedAt = options.clock.now();
+    this.#pipeline = new Task({
+      initial: emptyPipeline,
+      decide: decidePipeline,
+      perform: (effect) => this.#perform(effect),
+      clock: options.clock,
+    });
+    const { socket } = options;
+    // The end of the caller's side is read before the connection counts as closed.
+    socket.once('end', () => this.#cancelAll());
+    socket.once('close', () => this.#cancelAll());
+    // The HTTP server calls this behind a last answer. Closing with unread bytes would reset the
+    // connection, and the caller might lose that answer.
+    socket.destroySoon = () => this.#closeGracefully();
+  }
+
+  /** @returns whether the caller has sent nothing yet */
+  get isUnused(): boolean {
+    return this.#options.socket.bytesRead === 0;
+  }
+
+  /** @returns time since the connection was opened */
+  get ageMs(): Milliseconds {
+    return this.#options.clock.now() - this.#openedAt;
+  }
+
+  /**
+   * Takes a request.
+   *
+   * @param request - the request
+   */
+  receive(request: CompleteRequest): void {
+    const { body, response } = request;
+    const isLast = !response.shouldKeepAlive;
+    this.#add(request, { bytes: body.length, isLast });
+  }
+
+  /**
+   * Answers a request that was not read completely. Nothing behind it is taken.
+   *
+   * @param request - the request, without a body
+   * @param code - the reason
+   */
+  refuse(request: CompleteRequest, code: CodeName): void {
+    const outcome: MeshOutcome = { kind: 'refused', code, retryAfterMs: 0, wasOffered: false };
+    this.#add(request, { bytes: 0, isLast: true }, outcome);
+  }
+
+  /**
+   * Refuses the bytes behind the last request, after the answers of all requests.
+   *
+   * @param code - the reason
+   */
+  refuseUnread(code: CodeName): void {
+    this.#send({ kind: 'unreadable', code });
+  }
+
+  /** Handles the requests that waited after a pause. */
+  release(): void {
+    this.#send({ kind: 'released' });
+  }
+
+  #add(
+    request: CompleteRequest,
+    { bytes, isLast }: { readonly bytes: number; readonly isLast: boolean },
+    outcome: MeshOutcome | null = null,
+  ): void {
+    if (this.#isClosed) {
+      request.release();
+      return;
+    }
+    const number = this.#nextNumber;
+    this.#nextNumber += 1;
+    this.#open.set(number, { request, exchange: null, outcome });
+    this.#send({ kind: 'request-read', number, bytes, isLast });
+  }
+
+  #send(event: PipelineEvent): void {
+    this.#pipeline.send({ ...event, ...this.#options.conditions() });
+    this.#updateReading();
+  }
+
+  /** The HTTP server resumes a socket on its own, so the state is set after each message. */
+  #updateReading(): void {
+    const { socket } = this.#options;
+    if (!isReadable(this.#pipeline.state)) socket.pause();
+    else if (socket.isPaused()) socket.resume();
+  }
+
+  #perform(effect: PipelineEffect): void {
+    switch (effect.kind) {
+      case 'handle':
+        this.#handle(effect.number);
+        break;
+      case 'discard':
+        this.#discard(effect.number);
+        break;
+      case 'write':
+        this.#write(effect.number, effect.isLast);
+        break;
+      case 'refuse':
+        this.#writeUnreadRefusal(effect.code);
+        break;
+    }
+  }
+
+  #handle(number: RequestNumber): void {
+    const open = this.#open.get(number);
+    if (open === undefined) return;
+    if (open.outcome !== null) {
+      this.#answer(number, open.outcome);
+      return;
+    }
+    const exchange = this.#options.handle(open.request);
+    this.#open.set(number, { ...open, exchange });
+    void exchange.outcome.then((outcome) => this.#answer(number, outcome));
+  }
+
+  #answer(number: RequestNumber, outcome: MeshOutcome): void {
+    const open = this.#open.get(number);
+    if (open === undefined) return;
+    open.request.release();
+    this.#open.set(number, { ...open, exchange: null, outcome });
+    this.#send({ kind: 'answered', number, bytes: outcomeBytes(outcome) });
+  }
+
+  #discard(number: RequestNumber): void {
+    this.#open.get(number)?.request.release();
+    this.#open.delete(number);
+  }
+
+  #write(number: RequestNumber, isLast: boolean): void {
+    const open = this.#open.get(number);
+    this.#open.delete(number);
+    if (open === undefined || open.outcome === null) return;
+    const { response } = open.request;
+    this.#lastResponse = response;
+    writeAnswer(response, open.outcome, isLast);
+  }
+
+  #writeUnreadRefusal(code: CodeName): void {
+    const { socket } = this.#options;
+    const refuse = (): void => {
+      if (!socket.writable) {
+        socket.destroy();
+        return;
+      }
+      refuseUnread(socket, code);
+      this.#closeGracefully();
+    };
+    const last = this.#lastResponse;
+    // The HTTP server writes answers later than they are ended when an earlier one is on its way.
+    if (last === null || last.writableFinished) refuse();
+    else last.once('finish', refuse);
+  }
+
+  /** Ends the own side and reads on until the caller ends its side. */
+  #closeGracefully(): void {
+    const { socket } = this.#options;
+    socket.end();
+    socket.resume();
+    setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS).unref();
+  }
+
+  #cancelAll(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    const requests = [...this.#open.values()];
+    this.#open.clear();
+    requests.forEach(({ request, exchange }) => {
+      request.release();
+      exchange?.cancel();
+    });
+  }
+}
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -1,19 +1,14 @@
-import {
-  createServer,
-  STATUS_CODES,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { formatCodeMessage, getResultCode, type CodeName } from '../core/errors/registry.js';
+import type { CodeName } from '../core/errors/registry.js';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { IncomingRequest } from '../core/exchange/incoming-request.js';
-import type { MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { CallerLimits } from '../core/policy/policy.js';
+import { CallerConnection, type CompleteRequest } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
+import { RequestBodies } from './request-body.js';
 
 /** Options of the listener. */
 export interface RequestListenerOptions {
@@ -29,16 +24,7 @@
   readonly onUnreadRefusal: (code: CodeName) => void;
 }
 
-/** A request whose body has been read. */
-interface CompleteRequest {
-  readonly body: Uint8Array;
-  readonly arrivedAt: Instant;
-  /** Called once, when the request is answered or cancelled. */
-  readonly onEnd: () => void;
-}
-
 const EMPTY_BODY = new Uint8Array();
-const DEFAULT_ERROR_STATUS = 502;
 const MAX_HEADER_BYTES = 65_536;
 
 /** Limit of a request body until the first policy is known. */
@@ -47,17 +33,14 @@
 /** Added to the idle timeout, so that the caller stops using a connection before it is closed. */
 const KEEP_ALIVE_MARGIN_MS: Milliseconds = 1000;
 
-/** Error code of the HTTP parser of Node.js for headers over the size limit. */
-const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
+/** How often the connections are checked for headers that did not arrive in time. */
+const TIMEOUT_CHECK_INTERVAL_MS: Milliseconds = 1000;
 
-/** HTTP status of a result code. */
-function statusOf(code: CodeName): number {
-  return getResultCode(code).httpStatus ?? DEFAULT_ERROR_STATUS;
-}
-
-function formatRetryAfter(retryAfterMs: Milliseconds): string {
-  return (retryAfterMs / 1000).toFixed(3);
-}
+/** Result codes of the errors of the HTTP server of Node.js; any other is a malformed request. */
+const ERROR_CODES: Readonly<Record<string, CodeName>> = {
+  HPE_HEADER_OVERFLOW: 'requestTooLarge',
+  ERR_HTTP_REQUEST_TIMEOUT: 'requestIncomplete',
+};
 
 /** HTTP front end for callers of the platform: reads complete requests and writes responses. */
 export class RequestListener {
@@ -65,34 +48,30 @@
 
   readonly server: Server;
 
-  #limits: CallerLimits | null = null;
-
-  #bufferedBytes = 0;
-
-  /** What to do when a connection closes before its requests are answered, by connection. */
-  readonly #openRequests = new Map<Socket, Set<() => void>>();
+  readonly #bodies: RequestBodies;
 
-  /** Requests that were read after a pause and wait for `release`. */
-  readonly #held: (() => void)[] = [];
+  readonly #connections = new Map<Duplex, CallerConnection>();
 
-  /** Requests whose bodies are not read further until buffered bytes are released. */
-  readonly #paused = new Set<IncomingMessage>();
+  #limits: CallerLimits | null = null;
 
   /**
    * @param options - limits and the node's handlers
    */
   constructor(options: RequestListenerOptions) {
     this.#options = options;
+    this.#bodies = new RequestBodies(options.maxBufferedBytes);
     this.server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: 0 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        keepAliveTimeout: 0,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      },
       (request, response) => this.#receive(request, response),
     );
-    this.server.on('connection', (socket: Socket) => this.#watchConnection(socket));
+    this.server.on('connection', (socket: Socket) => this.#open(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
-      this.#refuseUnread(
-        error.code === HEADER_OVERFLOW_CODE ? 'requestTooLarge' : 'requestMalformed',
-        socket,
-      ),
+      this.#refuseUnread(error, socket),
     );
   }
 
@@ -109,174 +88,72 @@
 
   /** Handles the held requests whose callers are still there. */
   release(): void {
-    this.#held.splice(0).forEach((handle) => handle());
+    this.#connections.forEach((connection) => connection.release());
   }
 
-  /**
-   * Cancels the requests of a connection when its caller ends it, which is read before the connection
-   * counts as closed. A response emits no event of its own while it waits behind another one.
-   */
-  #watchConnection(socket: Socket): void {
-    const cancellations = new Set<() => void>();
-    this.#openRequests.set(socket, cancellations);
-    const cancelAll = (): void => {
-      if (!this.#openRequests.delete(socket)) return;
-      cancellations.forEach((cancel) => cancel());
-    };
-    socket.once('end', cancelAll);
-    socket.once('close', cancelAll);
+  #open(socket: Socket): void {
+    const { clock, isHeld, isStopping } = this.#options;
+    const connection = new CallerConnection({
+      clock,
+      socket,
+      conditions: () => ({ isHeld: isHeld(), isStopping: isStopping() }),
+      handle: (request) => this.#handle(request),
+    });
+    this.#connections.set(socket, connection);
+    socket.once('close', () => this.#connections.delete(socket));
   }
 
   #receive(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.get(request.socket);
     const arrivedAt = this.#options.clock.now();
-    const { headers } = request;
     const maxBytes = this.#limits?.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
-    if (Number(headers['content-length'] ?? 0) > maxBytes) {
-      this.#options.onUnreadRefusal('requestTooLarge');
-      this.#refuse(response, 'requestTooLarge', true);
-      return;
-    }
-    const hasBody = 'content-length' in headers || 'transfer-encoding' in headers;
-    if (!hasBody) {
-      this.#serve(request, response, { body: EMPTY_BODY, arrivedAt, onEnd: () => {} });
-      return;
-    }
-    this.#readBody(request, response, maxBytes, arrivedAt);
-  }
-
-  #readBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-    maxBytes: number,
-    arrivedAt: Instant,
-  ): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let isRejected = false;
-    let isServed = false;
-    const release = (): void => {
-      this.#release(length);
-      length = 0;
-    };
-    request.on('data', (chunk: Buffer) => {
-      if (isRejected) return;
-      chunks.push(chunk);
-      length += chunk.length;
-      this.#bufferedBytes += chunk.length;
-      if (length > maxBytes) {
-        isRejected = true;
-        release();
-        this.#options.onUnreadRefusal('requestTooLarge');
-        this.#refuse(response, 'requestTooLarge', true);
-      } else if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
-        request.pause();
-        this.#paused.add(request);
+    this.#bodies.read(request, maxBytes, (result) => {
+      switch (result.kind) {
+        case 'complete': {
+          const { body, release } = result;
+          const complete: CompleteRequest = { request, response, body, arrivedAt, release };
+          if (connection === undefined) release();
+          else connection.receive(complete);
+          break;
+        }
+        case 'too-large':
+          this.#options.onUnreadRefusal('requestTooLarge');
+          connection?.refuse(
+            { request, response, body: EMPTY_BODY, arrivedAt, release: () => {} },
+            'requestTooLarge',
+          );
+          break;
       }
     });
-    request.on('end', () => {
-      if (isRejected) return;
-      isServed = true;
-      this.#serve(request, response, { body: Buffer.concat(chunks), arrivedAt, onEnd: release });
-    });
-    request.on('close', () => {
-      this.#paused.delete(request);
-      // A body that is held back may have arrived completely without ever being read to its end.
-      if (!isServed) release();
-    });
-    // The close event that follows handles an incomplete request.
-    request.on('error', () => {});
   }
 
-  #release(bytes: number): void {
-    this.#bufferedBytes -= bytes;
-    if (this.#bufferedBytes > this.#options.maxBufferedBytes) return;
-    this.#paused.forEach((request) => request.resume());
-    this.#paused.clear();
-  }
-
-  #serve(request: IncomingMessage, response: ServerResponse, complete: CompleteRequest): void {
-    const handle = (): void => this.#handle(request, response, complete);
-    if (this.#options.isHeld()) this.#held.push(handle);
-    else handle();
-  }
-
-  #handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-    { body, arrivedAt, onEnd }: CompleteRequest,
-  ): void {
-    const cancellations = this.#openRequests.get(request.socket);
-    // The connection closed before the last byte of the request was handled.
-    if (cancellations === undefined) {
-      onEnd();
-      return;
-    }
+  #handle({ request, body, arrivedAt }: CompleteRequest): Exchange {
     const { dialect, handle } = this.#options;
     const head = dialect.readRequest({
       method: request.method ?? 'GET',
       target: request.url ?? '/',
       rawHeaders: request.rawHeaders,
     });
-    const exchange = handle({ ...head, body }, arrivedAt);
-    const cancel = (): void => {
-      onEnd();
-      exchange.cancel();
-    };
-    cancellations.add(cancel);
-    void exchange.outcome.then((outcome) => {
-      if (!cancellations.delete(cancel)) return;
-      onEnd();
-      this.#write(response, outcome);
-    });
+    return handle({ ...head, body }, arrivedAt);
   }
 
-  #write(response: ServerResponse, outcome: MeshOutcome): void {
-    if (response.destroyed || response.headersSent) return;
-    switch (outcome.kind) {
-      case 'answered': {
-        const headers = outcome.headers.flat();
-        if (this.#options.isStopping()) headers.push('connection', 'close');
-        headers.push('content-length', String(outcome.body.length));
-        response.writeHead(outcome.status, headers);
-        response.end(outcome.body);
-        break;
-      }
-      case 'refused':
-        this.#refuse(response, outcome.code, false, outcome.retryAfterMs);
-        break;
-      case 'failed':
-        this.#refuse(response, outcome.code, false);
-        break;
-    }
-  }
-
-  #refuse(
-    response: ServerResponse,
-    code: CodeName,
-    hasToClose: boolean,
-    retryAfterMs: Milliseconds = 0,
-  ): void {
-    const text = `${getResultCode(code).number} ${formatCodeMessage(code, {})}\n`;
-    const isClosing = hasToClose || this.#options.isStopping();
-    response.writeHead(statusOf(code), {
-      'content-type': 'text/plain',
-      'content-length': Buffer.byteLength(text),
-      ...(retryAfterMs > 0 ? { 'retry-after': formatRetryAfter(retryAfterMs) } : {}),
-      ...(isClosing ? { connection: 'close' } : {}),
-    });
-    response.end(text);
-  }
-
-  /** Responds on a connection whose request could not be parsed. */
-  #refuseUnread(code: CodeName, socket: Duplex): void {
-    if (!socket.writable) {
+  /**
+   * Refuses what could not be parsed. A connection on which nothing was sent yet gets no answer, as
+   * its caller would take it for that of its first request; the idle timeout holds for it.
+   */
+  #refuseUnread(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || !socket.writable) {
       socket.destroy();
       return;
     }
+    if (connection.isUnused) {
+      const idleTimeoutMs = this.#limits?.idleTimeoutMs ?? 0;
+      if (connection.ageMs >= idleTimeoutMs) socket.destroy();
+      return;
+    }
+    const code = ERROR_CODES[error.code ?? ''] ?? 'requestMalformed';
     this.#options.onUnreadRefusal(code);
-    const status = statusOf(code);
-    socket.end(
-      `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-    );
+    connection.refuseUnread(code);
   }
 }
