Forget no removal of a published value that a peer has not learned of

Cause: a late change of a peer that had been cut off was taken as new where the own listing lacked the key; and removals are remembered for 60 s only, after which a peer that was behind got the changes without them and its revision moved past them.

Change: an unknown value up to the known revision counts as removed; a peer that lacks forgotten removals gets a whole listing; changes that do not follow on the known ones leave the revision as it is, so that the rest is requested. Nodes of an earlier version send none of the new fields and are read as before.

--- a/src/core/crash/crash-tracker.ts
+++ b/src/core/crash/crash-tracker.ts
@@ -171,6 +171,23 @@
   }
 };
 
+/**
+ * Lists the recent crash records, for a peer that has none of them after its start.
+ *
+ * @param state - state of the tracker
+ * @param now - the current instant
+ * @returns the records with their age
+ */
+export function listCrashRecords(state: CrashState, now: Instant): readonly CrashRecord[] {
+  return [...state.records].flatMap(([fingerprint, record]) =>
+    [...filterLiveCrashes(record, now)].map(([crashId, crashedAt]) => ({
+      fingerprint,
+      crashId,
+      ageMs: now - crashedAt,
+    })),
+  );
+}
+
 /**
  * Checks whether calls with a fingerprint are refused.
  *
--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -1,6 +1,6 @@
 import type { CrashRecord } from '../model/crash-record.js';
 import type { Instant } from '../model/time.js';
-import type { Publication } from '../publications/publication.js';
+import type { ChangeSet } from '../publications/mirror.js';
 import type { Total, Usage } from '../quota/usage.js';
 import type { MeshCall, MeshReply } from './mesh-call.js';
 
@@ -15,10 +15,7 @@
 }
 
 /** Changes of published values that one node forwards to another. */
-export interface PublishedChanges {
-  readonly changes: readonly Publication[];
-  /** Revision up to which the changes are complete. */
-  readonly revision: number;
+export interface PublishedChanges extends ChangeSet {
   /** Whether the sender has read the store without interruption for some seconds. */
   readonly isSettled: boolean;
 }
--- a/src/core/publications/mirror.ts
+++ b/src/core/publications/mirror.ts
@@ -11,10 +11,47 @@
   readonly removedAt: ReadonlyMap<string, Instant>;
   /** All changes up to this revision are known. */
   readonly revision: number;
+  /** Removals up to this revision may have been forgotten, so changes after it are complete. */
+  readonly forgottenRevision: number;
+}
+
+/** Changes after a revision, for a peer. */
+export interface ChangeSet {
+  readonly changes: readonly Publication[];
+  /** Revision up to which the changes are complete. */
+  readonly revision: number;
+  /** Revision after which the changes are complete; not sent by nodes of an earlier version. */
+  readonly since?: number | undefined;
+  /** Whether the changes are all values, so that others were removed. */
+  readonly isListing?: boolean | undefined;
 }
 
 /** Mirror before the first read. */
-export const emptyMirror: Mirror = { publications: new Map(), removedAt: new Map(), revision: 0 };
+export const emptyMirror: Mirror = {
+  publications: new Map(),
+  removedAt: new Map(),
+  revision: 0,
+  forgottenRevision: 0,
+};
+
+/** Sets values, and forgets old removals. */
+function setPublications(mirror: Mirror, values: readonly Publication[], now: Instant): Mirror {
+  const publications = new Map(mirror.publications);
+  const removedAt = new Map(mirror.removedAt);
+  let { forgottenRevision } = mirror;
+  values.forEach((publication) => {
+    publications.set(publication.key, publication);
+    if (publication.text === null) removedAt.set(publication.key, now);
+    else removedAt.delete(publication.key);
+  });
+  removedAt.forEach((at, key) => {
+    if (now - at < REMOVAL_LIFETIME_MS) return;
+    forgottenRevision = Math.max(forgottenRevision, publications.get(key)?.revision ?? 0);
+    removedAt.delete(key);
+    publications.delete(key);
+  });
+  return { publications, removedAt, revision: mirror.revision, forgottenRevision };
+}
 
 /**
  * Applies changes. They may arrive twice, late or from several readers; for each key, the value
@@ -33,23 +70,13 @@
   now: Instant,
 ): Mirror {
   const newer = changes.filter(
-    ({ key, revision }) => revision > (mirror.publications.get(key)?.revision ?? 0),
+    ({ key, revision }) =>
+      // An unknown value up to the known revision was removed, perhaps before this node started.
+      revision > (mirror.publications.get(key)?.revision ?? mirror.revision),
   );
   const revision = Math.max(mirror.revision, upTo);
   if (newer.length === 0) return revision === mirror.revision ? mirror : { ...mirror, revision };
-  const publications = new Map(mirror.publications);
-  const removedAt = new Map(mirror.removedAt);
-  newer.forEach((publication) => {
-    publications.set(publication.key, publication);
-    if (publication.text === null) removedAt.set(publication.key, now);
-    else removedAt.delete(publication.key);
-  });
-  removedAt.forEach((at, key) => {
-    if (now - at < REMOVAL_LIFETIME_MS) return;
-    removedAt.delete(key);
-    publications.delete(key);
-  });
-  return { publications, removedAt, revision };
+  return setPublications({ ...mirror, revision }, newer, now);
 }
 
 /**
@@ -72,16 +99,47 @@
   const removals = [...mirror.publications.values()]
     .filter(({ key, text, revision }) => text !== null && !listed.has(key) && revision <= asOf)
     .map(({ key }): Publication => ({ key, revision: asOf, text: null }));
-  return applyChanges(mirror, [...listing, ...removals], asOf, now);
+  const newer = [...listing, ...removals].filter(
+    ({ key, revision }) => revision > (mirror.publications.get(key)?.revision ?? 0),
+  );
+  const revision = Math.max(mirror.revision, asOf);
+  if (newer.length === 0) return revision === mirror.revision ? mirror : { ...mirror, revision };
+  return setPublications({ ...mirror, revision }, newer, now);
 }
 
 /**
- * Lists the changes after a revision, for a peer that is behind.
+ * Collects the changes after a revision, for a peer that is behind. Where removals since then have
+ * been forgotten, all values are collected.
  *
  * @param mirror - the mirror
- * @param revision - last revision known to the peer
+ * @param since - last revision known to the peer
  * @returns the changes
  */
-export function listChangesAfter(mirror: Mirror, revision: number): readonly Publication[] {
-  return [...mirror.publications.values()].filter((item) => item.revision > revision);
+export function collectChanges(mirror: Mirror, since: number): ChangeSet {
+  const { revision, forgottenRevision } = mirror;
+  const values = [...mirror.publications.values()];
+  if (since > 0 && since < forgottenRevision) {
+    const changes = values.filter(({ text }) => text !== null);
+    return { changes, revision, since: 0, isListing: true };
+  }
+  return { changes: values.filter((value) => value.revision > since), revision, since };
+}
+
+/**
+ * Applies changes that a peer collected. After a gap, the changes count but the revision stays, so
+ * that the missing ones are requested.
+ *
+ * @param mirror - the mirror
+ * @param changeSet - the changes
+ * @param now - the current instant
+ * @returns the next mirror
+ */
+export function applyChangeSet(
+  mirror: Mirror,
+  { changes, revision, since, isListing }: ChangeSet,
+  now: Instant,
+): Mirror {
+  if (isListing === true) return applyListing(mirror, changes, revision, now);
+  const hasGap = since !== undefined && since > mirror.revision;
+  return applyChanges(mirror, changes, hasGap ? mirror.revision : revision, now);
 }
--- a/src/core/retry/retry-budget.ts
+++ b/src/core/retry/retry-budget.ts
@@ -61,27 +61,38 @@
   readonly budget: RetryBudget;
 }
 
+/** Part of a node in the bound that all nodes share. */
+export interface BudgetShare {
+  readonly nodes: number;
+  /**
+   * Fraction from 0 to 1 that is added to the allowed number before it is rounded down, different
+   * at each node. The sum over many nodes then is the sum of their exact shares, also where each
+   * share is below one.
+   */
+  readonly offset: number;
+}
+
 /**
  * Takes a retry from the budget if one is left. Each node may use the ratio of its own requests
  * and an equal share of the slack.
  *
  * @param budget - the budget of the service
  * @param bound - bound over all nodes
- * @param nodes - number of nodes
+ * @param share - part of this node in the bound
  * @param now - the current instant
  * @returns whether the request may be sent again, and the next budget
  */
 export function acquireRetry(
   budget: RetryBudget,
   bound: RetryBound,
-  nodes: number,
+  { nodes, offset }: BudgetShare,
   now: Instant,
 ): RetryGrant {
   const recent = budget.filter(({ startedAt }) => now - startedAt < bound.windowMs);
   const requests = recent.reduce((sum, slot) => sum + slot.requests, 0);
   const retries = recent.reduce((sum, slot) => sum + slot.retries, 0);
   const allowed = USED_SHARE * (bound.ratio * requests + bound.slack / Math.max(1, nodes));
-  return retries + 1 > allowed
+  return retries + 1 > allowed + offset
     ? { isGranted: false, budget }
     : { isGranted: true, budget: addCounts(budget, 0, 1, bound, now) };
 }
--- a/src/runtime/crash-task.ts
+++ b/src/runtime/crash-task.ts
@@ -3,6 +3,7 @@
   hasCrashRecord,
   initialCrashes,
   isQuarantined,
+  listCrashRecords,
   type CrashState,
 } from '../core/crash/crash-tracker.js';
 import type { CrashEffect, CrashMessage } from '../core/crash/crash-message.js';
@@ -82,6 +83,11 @@
     return hasCrashRecord(this.#task.state, fingerprint, this.#options.clock.now());
   }
 
+  /** @returns the recent crash records, for a peer that has just started */
+  listRecords(): readonly CrashRecord[] {
+    return listCrashRecords(this.#task.state, this.#options.clock.now());
+  }
+
   /** Stops the timer. */
   close(): void {
     clearInterval(this.#ticker);
--- a/src/sidecar/frame-router.ts
+++ b/src/sidecar/frame-router.ts
@@ -57,6 +57,7 @@
       case 'hello':
         this.#incomingAddresses.set(link, frame.address);
         peers.clearLeaving(frame.address);
+        this.#sendCrashRecords(link);
         break;
       case 'call':
         gate.call(link, frame);
@@ -111,6 +112,12 @@
     return { peer, calls, cancelled, delayMs: Math.round(delayMs) };
   }
 
+  /** A peer that has just started would run a request that crashes its backend servers again. */
+  #sendCrashRecords(link: MeshLink): void {
+    const marks = this.#options.crashes.listRecords();
+    if (marks.length > 0) link.send({ kind: 'marks', marks });
+  }
+
   /** Address of the peer at the other end of a link, whichever end opened it. */
   #addressOf(link: MeshLink): string | null {
     return this.#incomingAddresses.get(link) ?? this.#options.addressOf(link);
@@ -124,8 +131,7 @@
     const { publications } = this.#options;
     const { revision } = publications.status;
     if (peerRevision < revision) {
-      const changes = publications.changesAfter(peerRevision);
-      link.send({ kind: 'changes', changes, revision, isSettled: publications.isSettled });
+      link.send({ kind: 'changes', ...publications.changesAfter(peerRevision) });
     } else if (peerRevision > revision) {
       link.send({ kind: 'status', ...publications.status });
     }
--- a/src/sidecar/peer-table.ts
+++ b/src/sidecar/peer-table.ts
@@ -33,6 +33,9 @@
   /** Addresses of the own zone, including the own address, in an order common to its nodes. */
   #readerCandidates: readonly string[] = [];
 
+  /** All nodes in the order of each topic, since the last change of the directory. */
+  readonly #ranked = new Map<string, readonly string[]>();
+
   readonly #leavingUntil = new Map<string, Instant>();
 
   /**
@@ -70,6 +73,7 @@
   update(directory: Directory): void {
     const ips = new Set(directory.instances.map(({ address }) => extractIp(address)));
     ips.delete(this.#options.ip);
+    this.#ranked.clear();
     this.#peers = [...ips].map((ip) => this.addressOf(ip)).sort();
     const inZone = directory.instances.filter(({ zone }) => zone === this.#options.zone);
     const addresses = inZone.map(({ address }) => this.addressOf(extractIp(address)));
@@ -130,8 +134,17 @@
    */
   findAggregator(topic: string): string | null {
     const { own } = this;
-    const ranked = rankByRendezvous(topic, [own, ...this.#peers]);
-    const first = ranked.find((address) => address === own || this.isReachable(address));
+    const first = this.#rankNodes(topic).find(
+      (address) => address === own || this.isReachable(address),
+    );
     return first === undefined || first === own ? null : first;
   }
+
+  #rankNodes(topic: string): readonly string[] {
+    const known = this.#ranked.get(topic);
+    if (known !== undefined) return known;
+    const ranked = rankByRendezvous(topic, [this.own, ...this.#peers]);
+    this.#ranked.set(topic, ranked);
+    return ranked;
+  }
 }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -6,8 +6,9 @@
 import { decodeOnce, interpret, type ValueDecoder } from '../core/publications/interpretation.js';
 import {
   applyChanges,
+  applyChangeSet,
   applyListing,
-  listChangesAfter,
+  collectChanges,
   emptyMirror,
   type Mirror,
 } from '../core/publications/mirror.js';
@@ -145,23 +146,22 @@
   }
 
   /**
-   * Lists the changes after a revision.
+   * Collects the changes after a revision.
    *
    * @param revision - the last revision that a peer has
    * @returns the changed and removed values
    */
-  changesAfter(revision: number): readonly Publication[] {
-    return listChangesAfter(this.#mirror, revision);
+  changesAfter(revision: number): PublishedChanges {
+    return { ...collectChanges(this.#mirror, revision), isSettled: this.isSettled };
   }
 
   /**
    * Applies changes that another node has read. Removals take effect at once unless both nodes had
    * a recent outage: an outage in which entries expire lasts long enough for every node to detect.
    */
-  #applyPeerChanges({ changes, revision, isSettled }: PublishedChanges): void {
-    const now = this.#options.clock.now();
-    const next = applyChanges(this.#mirror, changes, revision, now);
-    this.#applyMirror(next, isSettled || this.isSettled);
+  #applyPeerChanges(changes: PublishedChanges): void {
+    const next = applyChangeSet(this.#mirror, changes, this.#options.clock.now());
+    this.#applyMirror(next, changes.isSettled || this.isSettled);
   }
 
   get #isReadEnabled(): boolean {
--- a/src/sidecar/retry-task.ts
+++ b/src/sidecar/retry-task.ts
@@ -15,19 +15,25 @@
   readonly bound: () => RetryBound;
   /** @returns the number of nodes that share the bound */
   readonly nodes: () => number;
+  /** @returns a fraction at least 0 and below 1 */
+  readonly random: () => number;
 }
 
 /** Task that owns the share of this node in the retry budget of each service. */
 export class RetryTask {
   readonly #options: RetryTaskOptions;
 
+  /** Stays the same, so that no node rounds its share up in each of several windows. */
+  readonly #offset: number;
+
   readonly #budgets = new Map<ServiceName, RetryBudget>();
 
   /**
-   * @param options - clock, bound and number of nodes
+   * @param options - clock, bound, number of nodes and source of random numbers
    */
   constructor(options: RetryTaskOptions) {
     this.#options = options;
+    this.#offset = options.random();
   }
 
   /**
@@ -50,7 +56,12 @@
   acquire(service: ServiceName): boolean {
     const { clock, bound, nodes } = this.#options;
     const budget = this.#budgets.get(service) ?? emptyRetryBudget;
-    const grant = acquireRetry(budget, bound(), nodes(), clock.now());
+    const grant = acquireRetry(
+      budget,
+      bound(),
+      { nodes: nodes(), offset: this.#offset },
+      clock.now(),
+    );
     this.#budgets.set(service, grant.budget);
     return grant.isGranted;
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -130,6 +130,7 @@
       clock,
       bound: () => this.#settings.retryBudget,
       nodes: () => this.#peers.nodeCount,
+      random,
     });
     this.#crashTask = this.#createCrashTask();
     this.#quotaTask = this.#createQuotaTask();
