Feed the other followers sooner after the loss of a reader

Causes: the first call of a standby waited 200 ms for a change, in which the next ones called too; the order of the followers was computed with the lost reader as usable, so that all of them had the delay 0 for the next one; a follower asked its new reader for a feed up to 200 ms later; a reader that gave up its call ended the feed of the standby as well.

Change: the first call of a standby returns at once; a reader answers a follower with what it knows and the age of its read; a lost reader ends only its own feed.

--- a/src/core/exchange/mesh-frame.ts
+++ b/src/core/exchange/mesh-frame.ts
@@ -1,5 +1,5 @@
 import type { CrashRecord } from '../model/crash-record.js';
-import type { Instant } from '../model/time.js';
+import type { Instant, Milliseconds } from '../model/time.js';
 import type { ChangeSet } from '../publications/mirror.js';
 import type { Total, Usage } from '../quota/usage.js';
 import type { MeshCall, MeshReply } from './mesh-call.js';
@@ -46,7 +46,11 @@
   /** The sender follows the receiver's reads of the store, starting after this revision. */
   | { readonly kind: 'follow'; readonly revision: number }
   /** Result of the latest read of the store, sent to followers even without changes. */
-  | ({ readonly kind: 'feed' } & PublishedChanges)
+  | ({
+      readonly kind: 'feed';
+      /** Time since that read; left out by nodes of an earlier version. */
+      readonly ageMs?: Milliseconds | undefined;
+    } & PublishedChanges)
   /** The sender cannot read the store, so it sends its followers no more feeds. */
   | { readonly kind: 'feed-lost' }
   | { readonly kind: 'usage'; readonly usages: readonly Usage[] }
--- a/src/core/publications/source.ts
+++ b/src/core/publications/source.ts
@@ -57,8 +57,8 @@
       readonly reader: ReaderChoice;
       readonly standbyDelayMs: Milliseconds;
     }
-  /** A reader has just read the store and sent the result. */
-  | { readonly kind: 'feed-received' }
+  /** A reader read the store this long ago and sent the result. */
+  | { readonly kind: 'feed-received'; readonly ageMs: Milliseconds }
   /** The reader cannot read the store, or the link to it was lost. */
   | { readonly kind: 'feed-lost' }
   /** A peer requests a feed from this node. */
@@ -113,7 +113,7 @@
     case 'reader-chosen':
       return { ...state, reader: message.reader, standbyDelayMs: message.standbyDelayMs };
     case 'feed-received':
-      return { ...state, lastFeedAt: now };
+      return { ...state, lastFeedAt: Math.max(state.lastFeedAt, now - message.ageMs) };
     case 'feed-lost':
       return { ...state, lastFeedAt: Math.min(state.lastFeedAt, now - FEED_TIMEOUT_MS) };
     case 'follow-received':
@@ -180,16 +180,18 @@
  * @param own - peer address of the node
  * @param ranked - peer addresses of the zone, including `own`, in an order common to all nodes
  * @param reader - the reader of the node
+ * @param isUsable - whether a peer is known to be reachable and able to read the store
  * @returns the followers, and the place of the node among them
  */
 export function groupFollowers(
   own: string,
   ranked: readonly string[],
   reader: ReaderChoice,
+  isUsable: (address: string) => boolean,
 ): ReaderGroup {
   if (reader.kind === 'this-node') return { standbys: [], standbyDelayMs: 0 };
   const standbys = ranked.filter((address) => {
-    const choice = chooseReader(address, ranked, () => true);
+    const choice = chooseReader(address, ranked, isUsable);
     return address === own || (choice.kind === 'peer' && choice.address === reader.address);
   });
   const place = standbys.indexOf(own) / Math.max(1, standbys.length);
--- a/src/sidecar/change-feed-task.ts
+++ b/src/sidecar/change-feed-task.ts
@@ -94,12 +94,18 @@
 
   #groupedCandidates: readonly string[] = [];
 
+  /** Node that sent the last feed; null when its address is not known. */
+  #fedBy: string | null = null;
+
   /** Revision of the last feed, which the other followers of the reader have received too. */
   #fedRevision = 0;
 
   /** Revision up to which changes have been sent to the followers. */
   #sentRevision = 0;
 
+  /** When the store last answered this node. */
+  #answeredAt: Instant = Number.NEGATIVE_INFINITY;
+
   #followSentAt: Instant = Number.NEGATIVE_INFINITY;
 
   /**
@@ -132,6 +138,7 @@
         this.#handleFrame(message.frame, message.link, message.from);
         break;
       case 'store-answered':
+        this.#answeredAt = this.#options.clock.now();
         // The wait of the next store call depends on whether this node may have followers.
         this.#chooseReader();
         this.#sendChanges();
@@ -160,7 +167,8 @@
       case 'feed':
         this.#options.publications.send({ ...frame, kind: 'feed-received' });
         this.#fedRevision = this.#options.publications.status.revision;
-        this.#source.send({ kind: 'feed-received' });
+        this.#fedBy = from;
+        this.#source.send({ kind: 'feed-received', ageMs: Math.max(0, frame.ageMs ?? 0) });
         this.#armFeedTimer();
         break;
       case 'feed-lost':
@@ -208,8 +216,14 @@
     this.#source.send({ kind: 'follow-received' });
     const { status } = publications;
     if (status.isStoreLost) link.send({ kind: 'feed-lost' });
-    if (revision >= status.revision) return;
-    link.send({ kind: 'changes', ...publications.changesAfter(revision) });
+    if (status.isStoreLost || this.source.kind !== 'store') {
+      if (revision >= status.revision) return;
+      link.send({ kind: 'changes', ...publications.changesAfter(revision) });
+      return;
+    }
+    // A follower that has just lost its reader need not read the store until the next regular feed.
+    const ageMs = clock.now() - this.#answeredAt;
+    link.send({ kind: 'feed', ...publications.changesAfter(revision), ageMs });
   }
 
   #broadcast(frame: ChangeFeedFrame): void {
@@ -223,7 +237,8 @@
   #abandonReader(address: string): void {
     const { reader } = this.#source.state;
     if (reader.kind === 'this-node' || reader.address !== address) return;
-    this.#source.send({ kind: 'feed-lost' });
+    // A standby that already feeds this node goes on to do so.
+    if (this.#fedBy === null || this.#fedBy === address) this.#source.send({ kind: 'feed-lost' });
     this.#chooseReader();
     this.#armFeedTimer();
   }
@@ -240,20 +255,19 @@
     this.#lostReaders.forEach((lostAt, address) => {
       if (now - lostAt >= LOST_READER_EXCLUSION_MS) this.#lostReaders.delete(address);
     });
-    const chosen = chooseReader(
-      peers.own,
-      peers.readerCandidates,
-      (address) => !this.#lostReaders.has(address) && peers.isReachable(address),
-    );
+    const isUsable = (address: string): boolean =>
+      !this.#lostReaders.has(address) && peers.isReachable(address);
+    const chosen = chooseReader(peers.own, peers.readerCandidates, isUsable);
     const isNewZone = this.#groupedCandidates !== peers.readerCandidates;
     if (!isNewZone && this.#isCurrentReader(chosen)) return;
     this.#groupedCandidates = peers.readerCandidates;
-    this.#group = groupFollowers(peers.own, peers.readerCandidates, chosen);
+    this.#group = groupFollowers(peers.own, peers.readerCandidates, chosen, isUsable);
     const { standbyDelayMs } = this.#group;
     const isNewReader = !this.#isCurrentReader(chosen);
     this.#source.send({ kind: 'reader-chosen', reader: chosen, standbyDelayMs });
     if (!isNewReader) return;
     this.#followSentAt = Number.NEGATIVE_INFINITY;
+    this.#sendFollow();
   }
 
   #isCurrentReader(choice: ReaderChoice): boolean {
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -43,6 +43,9 @@
 const WATCH_PAUSE_MS: Milliseconds = 800;
 const WATCH_WAIT_MS: Milliseconds = 200;
 
+/** Wait of the first call of a node that replaces its reader; the other followers wait for it. */
+const FIRST_WAIT_MS: Milliseconds = 1;
+
 /** Longest wait of a watch call without followers; bounded so that a dead connection is detected. */
 const UNFOLLOWED_WAIT_MS: Milliseconds = 10_000;
 
@@ -95,6 +98,9 @@
 
   #isReading = false;
 
+  /** Whether this node replaces its reader and has not called the store since. */
+  #isReadingAnew = false;
+
   #isClosed = false;
 
   /**
@@ -126,6 +132,7 @@
         void this.#readLoop();
         break;
       case 'source-changed':
+        this.#isReadingAnew = this.#source.kind === 'feed' && message.source.kind === 'store';
         this.#source = message.source;
         void this.#readLoop();
         break;
@@ -190,12 +197,11 @@
 
   #callStore(): Promise<StoreReply> {
     const { store } = this.#options;
-    return this.#isListingDue
-      ? store.list()
-      : store.watch(
-          this.#mirror.revision,
-          this.#hasNoFollowers ? UNFOLLOWED_WAIT_MS : WATCH_WAIT_MS,
-        );
+    if (this.#isListingDue) return store.list();
+    const waitMs = this.#hasNoFollowers ? UNFOLLOWED_WAIT_MS : WATCH_WAIT_MS;
+    const isFirst = this.#isReadingAnew;
+    this.#isReadingAnew = false;
+    return store.watch(this.#mirror.revision, isFirst ? FIRST_WAIT_MS : waitMs);
   }
 
   #pauseAfter(reply: StoreReply): Milliseconds {
