Exchange the loads of routes between nodes

Change: each node reports what replies said of its routes to one node every 0.25 s and gets the loads over all nodes back; under pressure that node tells all that have a link to it. Loads carry the age of the overload, count for 1 s, and are read field by field. A node that hears nothing decides by its own replies as before. The fraction of admitted requests moves by the time that has passed, up to two intervals, and no longer once a request. The new fields ride on frames that nodes of an earlier version know and ignore.

The constructor of the node became too long; the tasks that hold what is true for the whole fleet moved to fleet-tasks.ts.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -5,26 +5,22 @@
 import { formatFault, type Fault } from '../core/errors/fault.js';
 import type { Milliseconds } from '../core/model/time.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
-import { CrashTask } from '../runtime/crash-task.js';
 import { listen } from '../runtime/listen.js';
-import { newIncarnation } from '../runtime/request-ids.js';
 import { RateLimitedLog } from './rate-limited-log.js';
 import { ControlPath, type ControlEvent } from './control-path.js';
 import { DispatchTask } from './dispatch-task.js';
 import { EntryTask } from './entry-task.js';
+import { FleetTasks } from './fleet-tasks.js';
 import { FrameRouter } from './frame-router.js';
 import { GateCaller } from './gate-caller.js';
 import { GateServer } from './gate-server.js';
-import { LoadTask } from './load-task.js';
 import { MeshTask, type MeshEvent } from './mesh-task.js';
 import { PauseWatch, type Pause } from './pause-watch.js';
 import { PeerTable } from './peer-table.js';
 import { ProcessorWatch } from './processor-watch.js';
-import { QuotaTask } from './quota-task.js';
 import { ReadBarrier } from './read-barrier.js';
 import { createReadyServer } from './ready-server.js';
 import { RequestListener } from './request-listener.js';
-import { RetryTask } from './retry-task.js';
 import {
   answerOpenRequests,
   canServeUntil,
@@ -79,13 +75,7 @@
 
   readonly #processorWatch: ProcessorWatch;
 
-  readonly #loadTask: LoadTask;
-
-  readonly #quotaTask: QuotaTask;
-
-  readonly #retryTask: RetryTask;
-
-  readonly #crashTask: CrashTask;
+  readonly #fleet: FleetTasks;
 
   readonly #controlPath: ControlPath;
 
@@ -106,7 +96,7 @@
   constructor(settings: SidecarSettings, dependencies: SidecarDependencies) {
     this.#settings = settings;
     this.#dependencies = dependencies;
-    const { clock, random, dialect } = dependencies;
+    const { clock, dialect } = dependencies;
     this.#log = new RateLimitedLog(dependencies.log, clock);
     this.#peers = new PeerTable({
       ip: settings.ip,
@@ -125,15 +115,13 @@
       onEvent: (event) => this.#handleMeshEvent(event),
     });
     this.#processorWatch = new ProcessorWatch(clock);
-    this.#loadTask = new LoadTask({ clock, random });
-    this.#retryTask = new RetryTask({
-      clock,
-      bound: () => this.#settings.retryBudget,
-      nodes: () => this.#peers.nodeCount,
-      random,
+    this.#fleet = new FleetTasks({
+      dependencies,
+      settings: () => this.#settings,
+      peers: this.#peers,
+      mesh: this.#mesh,
+      onQuarantined: (fingerprint) => this.#reportEvent('quarantined', { fingerprint }),
     });
-    this.#crashTask = this.#createCrashTask();
-    this.#quotaTask = this.#createQuotaTask();
     this.#pauseWatch = new PauseWatch({
       clock,
       timeOfDay: dependencies.timeOfDay,
@@ -158,8 +146,9 @@
       gate: new GateServer(this.#gate),
       publications: this.#controlPath.publications,
       feed: this.#controlPath.feed,
-      quota: this.#quotaTask,
-      crashes: this.#crashTask,
+      quota: this.#fleet.quotas,
+      loads: this.#fleet.loadExchange,
+      crashes: this.#fleet.crashes,
       addressOf: (link) => this.#mesh.addressOf(link),
     });
     this.#readyServer = createReadyServer(
@@ -255,9 +244,7 @@
 
   async #close(): Promise<void> {
     clearInterval(this.#statusTimer);
-    [this.#pauseWatch, this.#controlPath, this.#quotaTask, this.#crashTask].forEach((task) =>
-      task.close(),
-    );
+    [this.#pauseWatch, this.#controlPath, this.#fleet].forEach((task) => task.close());
     [this.#requestListener.server, this.#readyServer].forEach((server) => {
       server.close();
       server.closeAllConnections();
@@ -279,27 +266,6 @@
     if (kind === 'suspended') this.#gate.recheck('the host was suspended');
   }
 
-  #createCrashTask(): CrashTask {
-    const { node, zone } = this.#settings;
-    return new CrashTask({
-      identity: { node, zone, incarnation: newIncarnation() },
-      clock: this.#dependencies.clock,
-      broadcastRecords: (marks) => this.#mesh.broadcast({ kind: 'marks', marks }),
-      onQuarantined: (fingerprint) => this.#reportEvent('quarantined', { fingerprint }),
-    });
-  }
-
-  #createQuotaTask(): QuotaTask {
-    return new QuotaTask({
-      node: this.#peers.own,
-      clock: this.#dependencies.clock,
-      nodes: () => this.#peers.nodeCount,
-      aggregator: () => this.#peers.findAggregator('quota'),
-      sendUsage: (address, usages) => this.#mesh.sendFrame(address, { kind: 'usage', usages }),
-      broadcastTotals: (totals) => this.#mesh.broadcast({ kind: 'totals', totals }),
-    });
-  }
-
   #createGate(): DispatchTask {
     const { clock, dialect } = this.#dependencies;
     return new DispatchTask({
@@ -310,9 +276,9 @@
       maxBufferedBytes: this.#settings.memoryBytes * ANSWER_MEMORY_SHARE,
       checkPause: () => this.#pauseWatch.check(),
       processorWatch: this.#processorWatch,
-      downstreamPressure: () => this.#loadTask.downstreamPressure,
-      onBackendCrash: (fingerprints) => this.#crashTask.recordCrash(fingerprints),
-      onCompleted: (fingerprint) => this.#crashTask.send({ kind: 'completed', fingerprint }),
+      downstreamPressure: () => this.#fleet.loads.downstreamPressure,
+      onBackendCrash: (fingerprints) => this.#fleet.crashes.recordCrash(fingerprints),
+      onCompleted: (fingerprint) => this.#fleet.crashes.send({ kind: 'completed', fingerprint }),
       onReply: (code) => this.#metrics.gateAnswers.inc({ code }),
       onViolation: (violation) => {
         this.#metrics.brokenPromises.inc({ promise: violation.promise });
@@ -340,23 +306,23 @@
       view: {
         lookup: () => this.#controlPath.policy.lookup,
         canServeUntil: (deadline) => canServeUntil(this.#plannedStop, deadline, clock.now()),
-        isQuarantined: (fingerprint) => this.#crashTask.isQuarantined(fingerprint),
-        spendQuota: (account) => this.#quotaTask.spendToken(account),
-        limitLoad: (route, rank) => this.#loadTask.limit({ route, rank }),
+        isQuarantined: (fingerprint) => this.#fleet.crashes.isQuarantined(fingerprint),
+        spendQuota: (account) => this.#fleet.quotas.spendToken(account),
+        limitLoad: (route, rank) => this.#fleet.loads.limit({ route, rank }),
         chooseService: (route) => this.#controlPath.policy.chooseService(route),
-        retryDelayMs: (route) => this.#loadTask.chooseRetryAfterMs(route),
+        retryDelayMs: (route) => this.#fleet.loads.chooseRetryAfterMs(route),
       },
       directory: () => this.#controlPath.directory,
       send: (instance, call) => gates.call(instance, call),
       isReachable: (instance) => gates.isReachable(instance),
       acquireRetry: (service) => {
-        const isGranted = this.#retryTask.acquire(service);
+        const isGranted = this.#fleet.retries.acquire(service);
         this.#metrics.retries.inc({ granted: String(isGranted) });
         return isGranted;
       },
-      onAdmitted: (service) => this.#retryTask.countRequest(service),
+      onAdmitted: (service) => this.#fleet.retries.countRequest(service),
       onGateReply: (subject, load, outcome) =>
-        this.#loadTask.send({ kind: 'call-ended', rankedRequest: subject, load, outcome }),
+        this.#fleet.loads.send({ kind: 'call-ended', rankedRequest: subject, load, outcome }),
       onAnswer: (code, tookMs) => {
         this.#metrics.entryAnswers.inc({ code });
         this.#metrics.requestDuration.observe(tookMs / 1000);
@@ -388,7 +354,7 @@
     switch (event.kind) {
       case 'policy-applied':
         this.#requestListener.setLimits(event.policy.limits);
-        this.#quotaTask.send({ kind: 'accounts', accounts: event.policy.accounts ?? [] });
+        this.#fleet.quotas.send({ kind: 'accounts', accounts: event.policy.accounts ?? [] });
         this.#metrics.policyVersion.set(event.policy.version);
         break;
       case 'directory-changed':
