--- a/src/core/shedding/load-exchange.ts
+++ b/src/core/shedding/load-exchange.ts
@@ -132,7 +132,9 @@
 
 function itemsOf(value: unknown): readonly Readonly<Record<string, unknown>>[] {
   if (!Array.isArray(value) || value.length > MAX_ROUTES) return [];
-  return value.filter((item): item is Readonly<Record<string, unknown>> => typeof item === 'object' && item !== null);
+  return value.filter(
+    (item): item is Readonly<Record<string, unknown>> => typeof item === 'object' && item !== null,
+  );
 }
 
 /**
