Let callers of the process soak pipeline their lookups

The soak of real processes had no caller that sends a request before the last one is answered. Lookups of callers that stay now share two connections a host, four at a time; the checks are unchanged (whole, own, in time, no connection lost outside a fault).

--- a/soak/processes/process-fleet.ts
+++ b/soak/processes/process-fleet.ts
@@ -81,6 +81,9 @@
 export class ProcessFleet {
   readonly agent = new Agent();
 
+  /** Sends further idempotent requests on a connection before the first one is answered. */
+  readonly pipeliningAgent = new Agent({ connections: 2, pipelining: 4 });
+
   readonly #store = new PlatformStore();
 
   readonly #observe: (observation: Observation) => void;
@@ -214,7 +217,7 @@
     this.#hosts.forEach((host) => host.close());
     this.#store.server.close();
     this.#store.server.closeAllConnections();
-    await this.agent.destroy();
+    await Promise.all([this.agent, this.pipeliningAgent].map((agent) => agent.destroy()));
     await rm(this.#directory, { recursive: true });
   }
 
--- a/soak/processes/process-soak.ts
+++ b/soak/processes/process-soak.ts
@@ -59,13 +59,15 @@
     const key = KEYS[this.#random() < 0.5 ? 0 : 1];
     const host = new URL(url).hostname;
     const patienceMs = this.#random() < LEAVING_SHARE ? this.#random() * MAX_PATIENCE_MS : null;
+    // A caller that leaves would take the other requests of its connection with it.
+    const isPipelined = !isOrder && patienceMs === null;
     const departure = new AbortController();
     const at = performance.now();
     const timer = patienceMs === null ? null : setTimeout(() => departure.abort(), patienceMs);
     this.#observe({ kind: 'request-sent', id, path, isRepeatable: !isOrder, host, key, at });
     try {
       const answer = await request(`${url}${path}`, {
-        dispatcher: this.#fleet.agent,
+        dispatcher: isPipelined ? this.#fleet.pipeliningAgent : this.#fleet.agent,
         signal: departure.signal,
         method: isOrder ? 'POST' : 'GET',
         ...(isOrder ? { body: 'one block' } : {}),
