Let own replies go on from the loads of all nodes

Change: the loads over all nodes replace the own ones once; own replies are added to them, and they decay as before. The separate lifetime goes.

--- a/src/core/shedding/load-exchange.ts
+++ b/src/core/shedding/load-exchange.ts
@@ -23,17 +23,8 @@
   readonly overloadAgeMs: Milliseconds | null;
 }
 
-/** Shared loads with the instant at which they were received. */
-export interface ReceivedLoads {
-  readonly byRoute: ReadonlyMap<RouteName, SharedRouteLoad>;
-  readonly at: Instant;
-}
-
-/** Shared loads of a node that has received none. */
-export const noSharedLoads: ReceivedLoads = { byRoute: new Map(), at: Number.NEGATIVE_INFINITY };
-
-/** Shared loads older than this are ignored, and the node decides by its own replies alone. */
-const SHARED_LIFETIME_MS: Milliseconds = 1000;
+/** Interval of the exchange; requests are admitted for this long before others know their fate. */
+export const EXCHANGE_INTERVAL_MS: Milliseconds = 250;
 
 /** Routes below this pressure are not listed; nodes take a route that is missing as calm. */
 const MIN_SHARED_PRESSURE = 0.01;
@@ -94,31 +85,24 @@
 }
 
 /**
- * Computes the load of a route from the loads over all nodes while they are recent, and from the
- * replies to this node alone otherwise. A node of a large fleet sends a few requests a second, which
- * show an overload late and by chance.
+ * Replaces the load of a route by the load over all nodes. Own replies that follow are added to it,
+ * and without further news it decays as any other. A node of a large fleet sends a few requests a
+ * second, which show an overload late and by chance.
  *
- * @param own - load by the replies to this node
- * @param route - the route
- * @param received - the last loads over all nodes
+ * @param own - load so far
+ * @param shared - load over all nodes, or undefined when the route is calm
  * @param now - the current instant
  * @returns the load
  */
-export function mergeSharedLoad(
+export function applySharedLoad(
   own: RouteLoad,
-  route: RouteName,
-  { byRoute, at }: ReceivedLoads,
+  shared: SharedRouteLoad | undefined,
   now: Instant,
 ): RouteLoad {
-  if (now - at >= SHARED_LIFETIME_MS) return own;
-  const shared = byRoute.get(route);
-  const sharedOverloadAt =
-    shared === undefined || shared.overloadAgeMs === null
-      ? Number.NEGATIVE_INFINITY
-      : at - shared.overloadAgeMs;
+  const overloadAgeMs = shared?.overloadAgeMs ?? Number.POSITIVE_INFINITY;
   return {
     pressure: { value: shared?.pressure ?? 0, at: now },
-    downstreamOverloadAt: Math.max(own.downstreamOverloadAt, sharedOverloadAt),
+    downstreamOverloadAt: Math.max(own.downstreamOverloadAt, now - overloadAgeMs),
   };
 }
 
--- a/src/sidecar/load-exchange-task.ts
+++ b/src/sidecar/load-exchange-task.ts
@@ -1,5 +1,6 @@
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import {
+  EXCHANGE_INTERVAL_MS,
   addNodeReports,
   isWorthBroadcasting,
   listSharedLoads,
@@ -22,9 +23,6 @@
   readonly broadcastLoads: (loads: readonly SharedRouteLoad[]) => void;
 }
 
-/** Interval of the reports; requests are admitted for this long before others know their fate. */
-const REPORT_INTERVAL_MS: Milliseconds = 250;
-
 /** A node without reports for this time no longer is the one that adds them up. */
 const AGGREGATOR_TIMEOUT_MS: Milliseconds = 1000;
 
@@ -48,7 +46,7 @@
    */
   constructor(options: LoadExchangeTaskOptions) {
     this.#options = options;
-    this.#timer = setInterval(() => this.#exchange(), REPORT_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#exchange(), EXCHANGE_INTERVAL_MS);
   }
 
   /**
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -1,7 +1,7 @@
 import type { AdmittedRequest, Limitation } from '../core/exchange/admission-pipeline.js';
 import type { GateLoad, MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { RouteName } from '../core/model/names.js';
-import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
+import type { Clock, Milliseconds } from '../core/model/time.js';
 import type { PrefixRoute } from '../core/policy/policy.js';
 import {
   addPressureSample,
@@ -11,10 +11,8 @@
 } from '../core/shedding/smoothed-pressure.js';
 import { admitRoot, openAdmission } from '../core/shedding/root-admission.js';
 import {
-  mergeSharedLoad,
-  noSharedLoads,
+  applySharedLoad,
   type NodeRouteReport,
-  type ReceivedLoads,
   type SharedRouteLoad,
 } from '../core/shedding/load-exchange.js';
 import {
@@ -26,7 +24,6 @@
   routePressure,
   type RankedAdmission,
   type RouteLoad,
-  type RouteLoads,
   type RouteReport,
 } from '../core/shedding/route-load.js';
 
@@ -86,9 +83,6 @@
 
   readonly #loads = new Map<RouteName, RouteLoad>();
 
-  /** Loads over all nodes, as last received. */
-  #shared: ReceivedLoads = noSharedLoads;
-
   readonly #unsent = new Map<RouteName, UnsentReport>();
 
   readonly #admissions = new Map<string, RankedAdmission>();
@@ -119,10 +113,7 @@
         this.#recordReply(message.rankedRequest, message.load, message.outcome);
         break;
       case 'loads-shared':
-        this.#shared = {
-          byRoute: new Map(message.loads.map((load) => [load.route, load])),
-          at: this.#options.clock.now(),
-        };
+        this.#applyShared(message.loads);
         break;
     }
   }
@@ -156,14 +147,13 @@
     this.#unsent.set(route.name, addReport(this.#unsent.get(route.name), report));
   }
 
-  /** Loads that decisions are based on, of all routes that this node has requests of. */
-  #currentLoads(now: Instant): RouteLoads {
-    return new Map(
-      [...this.#loads].map(([route, own]): [RouteName, RouteLoad] => [
-        route,
-        mergeSharedLoad(own, route, this.#shared, now),
-      ]),
-    );
+  /** Applies the loads over all nodes to the routes that this node has requests of. */
+  #applyShared(loads: readonly SharedRouteLoad[]): void {
+    const now = this.#options.clock.now();
+    const byRoute = new Map(loads.map((load) => [load.route, load]));
+    this.#loads.forEach((own, route) => {
+      this.#loads.set(route, applySharedLoad(own, byRoute.get(route), now));
+    });
   }
 
   /**
@@ -176,10 +166,9 @@
     const now = this.#options.clock.now();
     if (!this.#loads.has(route.name)) this.#loads.set(route.name, initialRouteLoad);
     const key = `${route.name} ${rank.accountPriority}`;
-    const loads = this.#currentLoads(now);
-    const pressure = routePressure(loads, route.name, now);
+    const pressure = routePressure(this.#loads, route.name, now);
     const before = this.#admissions.get(key) ?? openAdmission;
-    const isExempt = isProtected(loads, this.#admissions.values(), route.name, rank, now);
+    const isExempt = isProtected(this.#loads, this.#admissions.values(), route.name, rank, now);
     const { admission, isAdmitted } = admitRoot(before, pressure, rank, isExempt, now);
     this.#admissions.set(key, { ...admission, rank, route: route.name });
     if (isAdmitted) return null;
--- a/test/core/shedding/call-graph.ts
+++ b/test/core/shedding/call-graph.ts
@@ -1,6 +1,7 @@
 import type { GateLoad, MeshOutcome, Rank } from '../../../src/core/exchange/mesh-call.js';
 import type { PrefixRoute } from '../../../src/core/policy/policy.js';
 import {
+  EXCHANGE_INTERVAL_MS,
   addNodeReports,
   isWorthBroadcasting,
   listSharedLoads,
@@ -24,9 +25,6 @@
 /** Results by kind, with one entry per second. */
 export type CallGraphResult = ReadonlyMap<string, readonly SecondResult[]>;
 
-/** Interval at which the nodes exchange the loads of their routes. */
-const EXCHANGE_INTERVAL_MS = 250;
-
 const GATES_TRIED = 3;
 const LINK_MS = 1;
 const MS_PER_SECOND = 1000;
--- a/test/core/shedding/load-exchange.test.ts
+++ b/test/core/shedding/load-exchange.test.ts
@@ -1,18 +1,18 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { currentPressure } from '../../../src/core/shedding/smoothed-pressure.js';
 import {
   addNodeReports,
+  applySharedLoad,
   listSharedLoads,
-  mergeSharedLoad,
-  noSharedLoads,
   readNodeReports,
   readSharedLoads,
   type NodeRouteReport,
-  type ReceivedLoads,
 } from '../../../src/core/shedding/load-exchange.js';
 import {
   initialRouteLoad,
+  recordReport,
   type RouteLoad,
   type RouteLoads,
 } from '../../../src/core/shedding/route-load.js';
@@ -28,32 +28,56 @@
   );
 }
 
-function received(loads: ReturnType<typeof loadAfter>, at: number): ReceivedLoads {
-  return { byRoute: new Map(listSharedLoads(loads, at).map((load) => [load.route, load])), at };
+/** Load of a node that has just received the loads over all nodes. */
+function applied(own: RouteLoad, reports: readonly NodeRouteReport[], now: number): RouteLoad {
+  const shared = listSharedLoads(loadAfter(reports), now).find(({ route }) => route === 'look');
+  return applySharedLoad(own, shared, now);
 }
 
 test('a node that has seen no failure learns of the overload that other nodes met', () => {
   // Guards against entries that admit requests until their own ones have failed.
-  const loads = loadAfter(Array.from({ length: 40 }, () => LOST));
-  const shared = received(loads, 200);
-  const merged = mergeSharedLoad(initialRouteLoad, 'look', shared, 300);
-  assert.ok(merged.pressure.value > 0.7);
-  assert.equal(merged.downstreamOverloadAt, 195);
+  const load = applied(
+    initialRouteLoad,
+    Array.from({ length: 40 }, () => LOST),
+    200,
+  );
+  assert.ok(load.pressure.value > 0.7);
+  assert.equal(load.downstreamOverloadAt, 195);
 });
 
 test('a node whose own requests failed by chance takes the route as calm when all others do', () => {
   // Guards against shedding at one node for the fault of a single backend server.
-  const shared = received(loadAfter(Array.from({ length: 40 }, () => CALM)), 200);
-  const own: RouteLoad = { pressure: { value: 1, at: 290 }, downstreamOverloadAt: 290 };
-  assert.equal(mergeSharedLoad(own, 'look', shared, 300).pressure.value, 0);
+  const own: RouteLoad = { pressure: { value: 1, at: 190 }, downstreamOverloadAt: 190 };
+  const load = applied(
+    own,
+    Array.from({ length: 40 }, () => CALM),
+    200,
+  );
+  assert.equal(load.pressure.value, 0);
 });
 
-test('a node decides by its own replies when it hears nothing or only old loads', () => {
-  // Guards against shedding, or not, by an old truth after the loss of the aggregating node.
-  const own: RouteLoad = { pressure: { value: 0.4, at: 5000 }, downstreamOverloadAt: 4900 };
-  const shared = received(loadAfter(Array.from({ length: 40 }, () => LOST)), 200);
-  assert.deepEqual(mergeSharedLoad(own, 'look', shared, 5000), own);
-  assert.deepEqual(mergeSharedLoad(own, 'look', noSharedLoads, 5000), own);
+test('shared pressure that is not renewed decays like that of the own replies', () => {
+  // Guards against requests that are refused by an old truth after the loss of the aggregating node.
+  const load = applied(
+    initialRouteLoad,
+    Array.from({ length: 40 }, () => LOST),
+    200,
+  );
+  assert.ok(currentPressure(load.pressure, 1200) < 0.1);
+});
+
+test('own replies without pressure end a shared one', () => {
+  // Guards against requests that are refused although the overload has just ended here.
+  const shared = applied(
+    initialRouteLoad,
+    Array.from({ length: 40 }, () => LOST),
+    200,
+  );
+  const after = Array.from({ length: 10 }).reduce<RouteLoad>(
+    (load, _, at) => recordReport(load, CALM, 200 + (at + 1) * 25),
+    shared,
+  );
+  assert.ok(currentPressure(after.pressure, 450) < 0.3);
 });
 
 test('whatever another node sends, only well-formed loads are believed', () => {
