Test a backend server that never answers what it cannot run

Not built: telling a silent connection from slow work before the timeout. Requests that a node sent before it was restarted may still hold slots that the new process counts as free.

--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -86,6 +86,19 @@
 
   readonly #refusedOn = new WeakSet<object>();
 
+  /**
+   * Number of requests that run at the same time. Further ones, and all that follow on their
+   * connections, are never answered; null runs any number.
+   */
+  capacity: number | null = null;
+
+  /** Identifiers of the requests that are never answered for want of capacity. */
+  readonly unansweredIds: string[] = [];
+
+  #running = 0;
+
+  readonly #silentConnections = new WeakSet<object>();
+
   /** Idle time after which the next request on a connection resets it; null never resets. */
   idleResetAfterMs: number | null = null;
 
@@ -145,6 +158,7 @@
       receivedAtMs: performance.now(),
       senderPort: request.socket.remotePort ?? 0,
     };
+    if (this.#isSilent(received, request.socket)) return;
     if (this.handleRaw(received, request.socket)) return;
     const fault = this.selectFault(received);
     if (this.isRepeatingRefusals && this.#refusedOn.has(request.socket)) {
@@ -164,12 +178,24 @@
     await this.#runRequest(received, fault, response);
   }
 
+  #isSilent({ id }: ReceivedRequest, connection: Socket): boolean {
+    const isFull = this.capacity !== null && this.#running >= this.capacity;
+    if (isFull) this.#silentConnections.add(connection);
+    if (!this.#silentConnections.has(connection)) return false;
+    this.unansweredIds.push(id);
+    return true;
+  }
+
   async #runRequest(
     received: ReceivedRequest,
     fault: ResponseFault,
     response: ServerResponse,
   ): Promise<void> {
     this.runs.push(received);
+    this.#running += 1;
+    response.on('close', () => {
+      this.#running -= 1;
+    });
     response.on('close', () => {
       if (!response.writableFinished) this.abandonedIds.push(received.id);
     });
