--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -164,6 +164,7 @@
    */
   limit({ route, rank }: RankedRequest): Limitation | null {
     const now = this.#options.clock.now();
+    // Loads over all nodes are applied to the routes that are known here.
     if (!this.#loads.has(route.name)) this.#loads.set(route.name, initialRouteLoad);
     const key = `${route.name} ${rank.accountPriority}`;
     const pressure = routePressure(this.#loads, route.name, now);
