Send a whole listing to peers that may lack removals which the sender never saw

Cause: only removals that a node had forgotten counted as missing, not those before its first listing. A listing now marks all removals up to its revision as unknown, and peers behind it get the whole list (at most one message of the size of a listing for each such peer).

Shown by: 'a peer that is behind learns of removals that a node which started later never saw', which failed before.

--- a/src/core/publications/mirror.ts
+++ b/src/core/publications/mirror.ts
@@ -11,7 +11,7 @@
   readonly removedAt: ReadonlyMap<string, Instant>;
   /** All changes up to this revision are known. */
   readonly revision: number;
-  /** Removals up to this revision may have been forgotten, so changes after it are complete. */
+  /** Removals up to this revision may be unknown or forgotten; changes after it are complete. */
   readonly forgottenRevision: number;
 }
 
@@ -103,13 +103,15 @@
     ({ key, revision }) => revision > (mirror.publications.get(key)?.revision ?? 0),
   );
   const revision = Math.max(mirror.revision, asOf);
-  if (newer.length === 0) return revision === mirror.revision ? mirror : { ...mirror, revision };
-  return setPublications({ ...mirror, revision }, newer, now);
+  // A listing does not show the removal of values that this node never knew.
+  const forgottenRevision = Math.max(mirror.forgottenRevision, asOf);
+  const next = { ...mirror, revision, forgottenRevision };
+  return newer.length === 0 ? next : setPublications(next, newer, now);
 }
 
 /**
  * Collects the changes after a revision, for a peer that is behind. Where removals since then have
- * been forgotten, all values are collected.
+ * may be unknown, all values are collected.
  *
  * @param mirror - the mirror
  * @param since - last revision known to the peer
--- a/test/core/publications/mirror.test.ts
+++ b/test/core/publications/mirror.test.ts
@@ -66,6 +66,16 @@
   assert.equal(caughtUp.revision, 8);
 });
 
+test('a peer that is behind learns of removals that a node which started later never saw', () => {
+  // Guards against a server that had left and stays in use at a node that was cut off, because the
+  // neighbour that brought it up to date had started after the removal.
+  const started = applyListing(emptyMirror, [item('b', 9)], 100, 0);
+  const cutOff = applyChanges(emptyMirror, [item('a', 2), item('b', 9)], 50, 0);
+  const caughtUp = applyChangeSet(cutOff, collectChanges(started, cutOff.revision), 1);
+  assert.equal(caughtUp.publications.get('a')?.text ?? null, null);
+  assert.equal(caughtUp.revision, 100);
+});
+
 test('changes that do not follow on the known ones leave the revision, to request the rest', () => {
   // Guards against a change that is lost for good with one message between a reader and a follower.
   const known = applyChanges(emptyMirror, [item('a', 2)], 2, 0);
