--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -53,6 +53,9 @@
     const { machines, store } = deployment;
     const agent = new Agent({ keepAlive: true });
     await sleep(2000);
+    // Every node reads this version, and then waits for the next change.
+    store.put('op/config', config(8, [KEPT_KEY, WITHDRAWN_KEY]));
+    await sleep(500);
     if (hasTrouble) record(`${store.silenceConnections()} connections to the store go silent`);
     await sleep(TOUCH_MS + MARGIN_MS);
     store.put('op/config', config(9, [KEPT_KEY]));
