Notice silent store connections within the bound of a change

Cause: a node without followers waited up to 10 s in a watch and gave it up 1.5 s later. A silent connection gives no error, so the longest wait decides how long old values stay in force. A reader with followers has the same fault at the edge: pause, wait, time-out and retry add up to 3.05 s, and the timers of undici fire up to a second late.

Change: every reader waits 0.2 s and pauses 0.8 s, so the distinction of nodes without followers goes. A node that stops reading closes its connection, which it would otherwise use again when it replaces its reader.

The calls to the store of a zone with two nodes or more are the same; a node alone in its zone makes one a second, as other readers do.

--- a/src/core/publications/source.ts
+++ b/src/core/publications/source.ts
@@ -29,14 +29,13 @@
 
 /** The node that reads the store for this node. */
 export type ReaderChoice =
-  /** `isAlone` when no other node of the zone is known, so that no follower waits for a feed. */
-  | { readonly kind: 'this-node'; readonly isAlone: boolean }
+  | { readonly kind: 'this-node' }
   | { readonly kind: 'peer'; readonly address: string };
 
 /** Source of the published values. */
 export type Source =
-  /** This node reads the store; unless `isAlone`, peers follow its reads or may do so soon. */
-  | { readonly kind: 'store'; readonly isAlone: boolean }
+  /** This node reads the store. */
+  | { readonly kind: 'store' }
   | { readonly kind: 'feed'; readonly address: string };
 
 /** Current source, and the inputs of its choice. */
@@ -73,8 +72,8 @@
 
 /** Initial state: a node that has just started has no peers and reads the store itself. */
 export const initialSource: SourceState = {
-  source: { kind: 'store', isAlone: true },
-  reader: { kind: 'this-node', isAlone: true },
+  source: { kind: 'store' },
+  reader: { kind: 'this-node' },
   lastFeedAt: Number.NEGATIVE_INFINITY,
   lastFollowAt: Number.NEGATIVE_INFINITY,
   standbyDelayMs: 0,
@@ -93,16 +92,14 @@
 function selectSource(state: SourceState, now: Instant): Source {
   const { reader, lastFollowAt } = state;
   const isFollowed = now - lastFollowAt < FOLLOWER_TIMEOUT_MS;
-  if (reader.kind === 'this-node') return { kind: 'store', isAlone: reader.isAlone && !isFollowed };
-  return !isFollowed && now < feedDeadline(state)
-    ? { kind: 'feed', address: reader.address }
-    : { kind: 'store', isAlone: false };
+  const isFed = reader.kind === 'peer' && !isFollowed && now < feedDeadline(state);
+  return isFed ? { kind: 'feed', address: reader.address } : { kind: 'store' };
 }
 
 function isSameSource(left: Source, right: Source): boolean {
   switch (left.kind) {
     case 'store':
-      return right.kind === 'store' && right.isAlone === left.isAlone;
+      return right.kind === 'store';
     case 'feed':
       return right.kind === 'feed' && right.address === left.address;
   }
@@ -161,9 +158,7 @@
   const count = Math.max(1, Math.ceil(ranked.length / NODES_PER_READER));
   const readers = ranked.filter((address) => address === own || isUsable(address)).slice(0, count);
   const [reader = own] = readers.includes(own) ? [own] : rankByRendezvous(own, readers);
-  return reader === own
-    ? { kind: 'this-node', isAlone: ranked.length <= 1 }
-    : { kind: 'peer', address: reader };
+  return reader === own ? { kind: 'this-node' } : { kind: 'peer', address: reader };
 }
 
 /** Nodes that are fed by the same reader. */
--- a/src/sidecar/change-feed-task.ts
+++ b/src/sidecar/change-feed-task.ts
@@ -139,7 +139,7 @@
         break;
       case 'store-answered':
         this.#answeredAt = this.#options.clock.now();
-        // The wait of the next store call depends on whether this node may have followers.
+        // The first answer names the peers, one of which may read the store for this node.
         this.#chooseReader();
         this.#sendChanges();
         this.#feedStandbys();
@@ -274,7 +274,7 @@
     const { reader } = this.#source.state;
     switch (choice.kind) {
       case 'this-node':
-        return reader.kind === 'this-node' && reader.isAlone === choice.isAlone;
+        return reader.kind === 'this-node';
       case 'peer':
         return reader.kind === 'peer' && reader.address === choice.address;
     }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -37,8 +37,9 @@
  * Pause between two watch calls, and the longest wait of a watch call. The pause saves calls,
  * which cost money, and batches changes, which come in groups. Pause and wait together are the
  * longest gap between two updates to followers, which read the store themselves after a gap of
- * 1.4 s. The pause is two fifths of the 2 s in which a change has to be in force; the rest is left
- * for a slow store and the transfer to followers.
+ * 1.25 s. The pause is two fifths of the 2 s in which a change has to be in force; the rest is left
+ * for a slow store and the transfer to followers. The same wait applies without followers, since a
+ * call on a connection that fell silent is given up only after its wait.
  */
 const WATCH_PAUSE_MS: Milliseconds = 800;
 const WATCH_WAIT_MS: Milliseconds = 200;
@@ -46,9 +47,6 @@
 /** Wait of the first call of a node that replaces its reader; the other followers wait for it. */
 const FIRST_WAIT_MS: Milliseconds = 1;
 
-/** Longest wait of a watch call without followers; bounded so that a dead connection is detected. */
-const UNFOLLOWED_WAIT_MS: Milliseconds = 10_000;
-
 /** Exponential backoff after failed calls: first and longest pause, before jitter of ±50%. */
 const RETRY_MIN_MS: Milliseconds = 200;
 const RETRY_MAX_MS: Milliseconds = 2000;
@@ -91,7 +89,7 @@
     { readonly until: Instant; readonly was: Publication }
   >();
 
-  #source: Source = { kind: 'store', isAlone: true };
+  #source: Source = { kind: 'store' };
 
   /** Whether the next call is a full listing, which shows removals that a watch cannot. */
   #isListingDue = true;
@@ -189,19 +187,16 @@
       await sleep(this.#pauseAfter(reply), undefined, { ref: false });
     }
     this.#isReading = false;
-  }
-
-  get #hasNoFollowers(): boolean {
-    return this.#source.kind === 'store' && this.#source.isAlone;
+    // A connection may fall silent while it is unused, so the next read opens a new one.
+    this.#options.store.cancel();
   }
 
   #callStore(): Promise<StoreReply> {
     const { store } = this.#options;
     if (this.#isListingDue) return store.list();
-    const waitMs = this.#hasNoFollowers ? UNFOLLOWED_WAIT_MS : WATCH_WAIT_MS;
-    const isFirst = this.#isReadingAnew;
+    const waitMs = this.#isReadingAnew ? FIRST_WAIT_MS : WATCH_WAIT_MS;
     this.#isReadingAnew = false;
-    return store.watch(this.#mirror.revision, isFirst ? FIRST_WAIT_MS : waitMs);
+    return store.watch(this.#mirror.revision, waitMs);
   }
 
   #pauseAfter(reply: StoreReply): Milliseconds {
@@ -210,7 +205,7 @@
       case 'history-lost':
         return 0;
       case 'changes':
-        return this.#hasNoFollowers && reply.changes.length === 0 ? 0 : WATCH_PAUSE_MS;
+        return WATCH_PAUSE_MS;
       case 'unavailable': {
         const pauseMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** (this.#failures - 1));
         return pauseMs * (0.5 + this.#options.random());
--- a/standin/platform-store.ts
+++ b/standin/platform-store.ts
@@ -46,6 +46,8 @@
 
   #lastConnection: Socket | null = null;
 
+  readonly #openConnections = new Set<Socket>();
+
   #revision = 1;
 
   /** Revisions up to this one have been removed from the history. */
@@ -65,6 +67,15 @@
       this.#lastConnection = request.socket;
       this.#handleRequest(url, response);
     });
+    this.server.on('connection', (socket: Socket) => {
+      this.#openConnections.add(socket);
+      socket.once('close', () => this.#openConnections.delete(socket));
+    });
+  }
+
+  /** @returns the number of open connections */
+  get connectionCount(): number {
+    return this.#openConnections.size;
   }
 
   /**
@@ -115,10 +126,12 @@
 
   /** Answers nothing more on the connection that was used last, also what waits there. */
   holdLastConnection(): void {
-    const held = this.#lastConnection;
-    if (held === null) return;
-    this.#heldConnections.add(held);
-    this.#watches = this.#watches.filter(({ response }) => response.req.socket !== held);
+    if (this.#lastConnection !== null) this.#holdConnection(this.#lastConnection);
+  }
+
+  /** Answers nothing more on all connections that are open now; new connections work. */
+  silenceConnections(): void {
+    this.#openConnections.forEach((socket) => this.#holdConnection(socket));
   }
 
   /** Closes the connections of all pending watches without an answer. */
@@ -127,6 +140,11 @@
     this.#watches = [];
   }
 
+  #holdConnection(socket: Socket): void {
+    this.#heldConnections.add(socket);
+    this.#watches = this.#watches.filter(({ response }) => response.req.socket !== socket);
+  }
+
   #recordChange(item: StoreItem): void {
     this.#history.push(item);
     const waiting = this.#watches;
--- a/test/core/publications/source.test.ts
+++ b/test/core/publications/source.test.ts
@@ -11,7 +11,7 @@
 
 const READER = { kind: 'peer', address: '10.0.0.2:7000' } as const;
 const FEED: Source = { kind: 'feed', address: READER.address };
-const OWN_READS: Source = { kind: 'store', isAlone: false };
+const OWN_READS: Source = { kind: 'store' };
 
 /** Maximum time until a change is in force on the users' platform; a slow read takes 0.25 s. */
 const IN_FORCE_MS = 2000;
