Give up silent links between nodes that carry no calls

Usage, loads and requests for a feed sent over a silent link were lost for good, so quotas were added up without them.

Cause: only a link with calls in flight was checked, and each message restarted its idle time-out.

Change: the node that opened a link pings it when its messages got no frame back for 0.8 s. The other end does not, since it may hold replies that a paused opener still reads. Received bytes are recorded at each check; before, the first check counted older ones as a sign of life.

--- a/src/sidecar/mesh-link.ts
+++ b/src/sidecar/mesh-link.ts
@@ -28,6 +28,11 @@
 export interface MeshLinkOptions {
   readonly socket: WebSocket;
   readonly clock: Clock;
+  /**
+   * Whether this node opened the link. Only the opener checks a link for messages without an answer:
+   * the other end may still hold replies that a paused opener reads later.
+   */
+  readonly isOpener: boolean;
   /** Delays the echo of a ping until the departures of callers that are readable have been read. */
   readonly readBarrier: ReadBarrier;
   /** @returns the number of bytes received on the connection so far, also of unfinished frames */
@@ -38,6 +43,13 @@
 /** A ping is sent when calls are pending and no frame was received for this time. */
 const PING_DELAY_MS: Milliseconds = 400;
 
+/**
+ * A ping is sent when messages without calls got no frame for this time. With the checks every 0.2 s,
+ * the time-out of the pong and the pause before a new link, messages are delivered again after
+ * 2.5 s, within the 3 s after which the platform holds a node to its bounds again.
+ */
+const ONE_WAY_PING_DELAY_MS: Milliseconds = 800;
+
 /** A link on which no frame follows a ping within this time is closed as half-open. */
 const PONG_TIMEOUT_MS: Milliseconds = 700;
 
@@ -65,6 +77,9 @@
 
   #pingSentAt: Instant | null = null;
 
+  /** Instant of the first frame sent since the last sign of life of the peer; null for none. */
+  #unheardSince: Instant | null = null;
+
   #isClosed = false;
 
   /** Instant of the last frame other than ping and pong, so that idle links can be closed. */
@@ -117,8 +132,10 @@
    */
   send(frame: MeshFrame): boolean {
     if (!this.isOpen) return false;
-    if (frame.kind !== 'ping' && frame.kind !== 'pong')
+    if (frame.kind !== 'ping' && frame.kind !== 'pong') {
       this.#lastUsedAt = this.#options.clock.now();
+      this.#unheardSince ??= this.#lastUsedAt;
+    }
     this.#options.socket.send(this.#codec.encode(frame));
     return true;
   }
@@ -152,12 +169,12 @@
     this.send({ kind: 'cancel', number });
   }
 
-  /** Checks that the peer still responds while either side waits, and closes a silent link. */
+  /** Checks that the peer still responds to what was sent, and closes a silent link. */
   checkLiveness(): void {
-    const isWaiting = this.#pendingCalls.size > 0 || this.#lateCallFilter.isWaiting;
-    if (!isWaiting || !this.isOpen) return;
+    if (!this.isOpen) return;
     const now = this.#options.clock.now();
     this.#recordProgress(now);
+    if (!this.#isResponseDue(now)) return;
     if (this.#pingSentAt !== null && this.#lastReceivedAt < this.#pingSentAt) {
       if (now - this.#pingSentAt > PONG_TIMEOUT_MS) this.#close('no response to a ping');
       return;
@@ -171,10 +188,21 @@
     this.#close('closed by this node', false);
   }
 
+  #isResponseDue(now: Instant): boolean {
+    if (this.#pendingCalls.size > 0 || this.#lateCallFilter.isWaiting) return true;
+    const since = this.#unheardSince;
+    return this.#options.isOpener && since !== null && now - since >= ONE_WAY_PING_DELAY_MS;
+  }
+
+  #recordLife(now: Instant): void {
+    this.#lastReceivedAt = now;
+    this.#unheardSince = null;
+  }
+
   /** A large frame takes seconds on a narrow link, and holds back the echo of a ping meanwhile. */
   #recordProgress(now: Instant): void {
     const receivedBytes = this.#options.receivedBytes();
-    if (receivedBytes !== this.#checkedBytes) this.#lastReceivedAt = now;
+    if (receivedBytes !== this.#checkedBytes) this.#recordLife(now);
     this.#checkedBytes = receivedBytes;
   }
 
@@ -189,7 +217,7 @@
 
   #receive(bytes: Uint8Array): void {
     const now = this.#options.clock.now();
-    this.#lastReceivedAt = now;
+    this.#recordLife(now);
     this.#codec.decode(bytes).match(
       (frame) => this.#handleFrame(frame, now),
       (reason) => {
--- a/src/sidecar/mesh-task.ts
+++ b/src/sidecar/mesh-task.ts
@@ -199,6 +199,7 @@
     const link = new MeshLink({
       socket,
       clock,
+      isOpener: true,
       readBarrier,
       receivedBytes: () => connection?.bytesRead ?? 0,
       onEvent: (event) => {
@@ -260,6 +261,7 @@
     const link: MeshLink = new MeshLink({
       socket,
       clock,
+      isOpener: false,
       readBarrier,
       receivedBytes: () => connection.bytesRead,
       onEvent: (event) => this.#handleLinkEvent(event, link, null),
--- a/test/sidecar/large-frame.test.ts
+++ b/test/sidecar/large-frame.test.ts
@@ -20,6 +20,7 @@
   const link = new MeshLink({
     socket: socket as unknown as WebSocket,
     clock,
+    isOpener: true,
     readBarrier: new ReadBarrier(clock),
     receivedBytes: () => state.receivedBytes,
     onEvent: ({ kind }) => events.push(kind),
--- a/test/sidecar/link-proxy.ts
+++ b/test/sidecar/link-proxy.ts
@@ -26,6 +26,11 @@
     this.#directions.forEach((direction) => direction.hold());
   }
 
+  /** Holds up what is sent on the connections that are open now; new ones work. */
+  silence(): void {
+    this.#directions.forEach((direction) => direction.hold());
+  }
+
   /**
    * Delivers what was held up, in order.
    *
