Close the idle backend connections that a silent request may share a fault with

After idle connections to a backend server fell silent, one request was lost on each of them in turn, with a 504 at its deadline.

Cause: only the connection of the unanswered request was closed.

Change: a request that reaches its deadline without the head of an answer also closes the idle connections that were not used since it was sent.

Evidence: test/sidecar/silent-server.test.ts, "one at-most-once request without an answer closes the connections that fell silent with it", failed before (several 504 in place of 200) and passes in three runs of three, also with an idempotent request.

--- a/src/sidecar/backend-connection-pool.ts
+++ b/src/sidecar/backend-connection-pool.ts
@@ -111,6 +111,19 @@
     this.#idleLimit = recordIdleBreak(this.#idleLimit, idleMs, this.#options.clock.now());
   }
 
+  /**
+   * Closes the idle connections that were not used since a request began that got no answer. A fault
+   * of the network silences all open connections at once and shows on none until a request is sent.
+   *
+   * @param startedAt - when the request was sent
+   */
+  recordSilence(startedAt: Instant): void {
+    const unused = this.#idle.filter(({ since }) => since <= startedAt);
+    const used = this.#idle.filter(({ since }) => since > startedAt);
+    this.#idle.splice(0, this.#idle.length, ...used);
+    this.#destroyAll(unused);
+  }
+
   /** Closes all connections immediately, including those with a request in flight. */
   async close(): Promise<void> {
     const all = [...this.#idle.map(({ client }) => client), ...this.#busy];
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -94,6 +94,11 @@
     return this.#isStarted;
   }
 
+  /** @returns whether the head of an answer was received */
+  get isAnswering(): boolean {
+    return this.#head !== null;
+  }
+
   /**
    * Aborts the exchange and closes its connection, so that the backend server stops the request.
    *
--- a/src/sidecar/backend-sender.ts
+++ b/src/sidecar/backend-sender.ts
@@ -85,11 +85,13 @@
    * @param run - the call
    * @param end - how its exchange ended
    */
-  finish({ connection }: RunningCall, end: ExchangeEnd): void {
+  finish({ connection, exchange, startedAt }: RunningCall, end: ExchangeEnd): void {
     if (isConnectionReusable(end)) this.#connectionPool.release(connection);
     else this.#connectionPool.discard(connection);
     const isBrokenBeforeHead = end.kind === 'failed' && end.isBroken && end.code === 'serverFailed';
     if (isBrokenBeforeHead) this.#connectionPool.recordBreak(connection);
+    const isUnanswered = end.kind === 'failed' && end.code === 'deadlinePassed';
+    if (isUnanswered && !exchange.isAnswering) this.#connectionPool.recordSilence(startedAt);
   }
 
   /** Closes the connections to the backend server. */
--- a/standin/platform-backend.ts
+++ b/standin/platform-backend.ts
@@ -99,6 +99,8 @@
 
   readonly #silentConnections = new WeakSet<object>();
 
+  readonly #openConnections = new Set<Socket>();
+
   /** Idle time after which the next request on a connection resets it; null never resets. */
   idleResetAfterMs: number | null = null;
 
@@ -113,6 +115,15 @@
       void this.#handleRequest(request, response);
     });
     this.server.keepAliveTimeout = 60_000;
+    this.server.on('connection', (socket: Socket) => {
+      this.#openConnections.add(socket);
+      socket.once('close', () => this.#openConnections.delete(socket));
+    });
+  }
+
+  /** Answers nothing more on all connections that are open now; new connections work. */
+  silenceConnections(): void {
+    this.#openConnections.forEach((socket) => this.#silentConnections.add(socket));
   }
 
   /** Headers by which the backend server states its condition in each of its answers. */
--- a/test/sidecar/silent-server.test.ts
+++ b/test/sidecar/silent-server.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { startFleet } from './fleet.js';
+import { startFleet, type FleetCall } from './fleet.js';
 
 const SLOTS = 6;
 const ROUTE_TIMEOUT_MS = 2000;
@@ -47,3 +47,35 @@
   );
   assert.deepEqual(stock.backend.unansweredIds, ['s1']);
 });
+
+const SILENT_CALLS: Readonly<Record<string, Omit<FleetCall, 'id'>>> = {
+  'at-most-once': { path: '/order/1', method: 'POST', body: 'x' },
+  idempotent: { timeoutMs: 600 },
+};
+
+for (const [kind, silentCall] of Object.entries(SILENT_CALLS)) {
+  test(`one ${kind} request without an answer closes the connections that fell silent with it`, async (t) => {
+    // Guards against a request lost on each of the pooled connections, one after the other.
+    const fleet = await startFleet(t, { hosts: HOSTS, slots: SLOTS });
+    const [desk, stock] = fleet.hosts;
+    assert.ok(desk !== undefined && stock !== undefined);
+    stock.backend.workMs = 60;
+    const callAll = async (name: string): Promise<readonly number[]> => {
+      const calls = Array.from({ length: SLOTS }, (_, at) =>
+        fleet.call(desk, { id: `${name}${at}` }),
+      );
+      return (await Promise.all(calls)).map(({ status }) => status);
+    };
+    await callAll('h');
+    await callAll('i');
+    stock.backend.silenceConnections();
+    const silent = await fleet.call(desk, { id: 'j', ...silentCall });
+    assert.equal(silent.status, 504);
+    const statuses = await callAll('k');
+    assert.deepEqual(
+      statuses,
+      statuses.map(() => 200),
+    );
+    assert.deepEqual(stock.backend.unansweredIds, ['j']);
+  });
+}
