Show in a real process that endless answers do not exhaust the memory

Report of other operators: a faulty server sent bytes without end, in a head or in a body, and the node that had called it kept them all and ran out of memory.

It does not happen here, so no code of the product changes.

The endless answers move to a fixture that both tests use.

--- a/standin/host-process.ts
+++ b/standin/host-process.ts
@@ -79,6 +79,14 @@
     });
   }
 
+  /** @returns the process id of the running node, or null when it has ended */
+  get nodePid(): number | null {
+    const node = this.#node;
+    return node === null || node.exitCode !== null || node.signalCode !== null
+      ? null
+      : (node.pid ?? null);
+  }
+
   /**
    * Sends a signal to the node process, if it was started.
    *
--- a/test/sidecar/endless-answer.test.ts
+++ b/test/sidecar/endless-answer.test.ts
@@ -10,44 +10,9 @@
   type HealthCheckResult,
 } from '../../src/sidecar/backend-health-check.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
+import { ENDLESS_ANSWERS, writeEndlessly } from './endless-answers.js';
 import { startFleet, waitFor } from './fleet.js';
 
-const BLOCK = 'x'.repeat(16_384);
-const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nResponse-Signature: s\r\n';
-
-interface EndlessAnswer {
-  readonly start: string;
-  readonly repeated: string;
-}
-
-const ENDLESS_ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
-  'status line': { start: 'HTTP/1.1 200 ', repeated: BLOCK },
-  'header name': { start: HEAD, repeated: BLOCK },
-  'header value': { start: `${HEAD}X-Long: `, repeated: BLOCK },
-  'list of headers': { start: HEAD, repeated: `X-More: ${'y'.repeat(100)}\r\n` },
-  'row of interim answers': { start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
-  'chunked body': {
-    start: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
-    repeated: `4000\r\n${BLOCK}\r\n`,
-  },
-  'chunk extension': { start: `${HEAD}Transfer-Encoding: chunked\r\n\r\n1;`, repeated: BLOCK },
-  'body without a length': { start: `${HEAD}\r\n`, repeated: BLOCK },
-  'stream of other bytes': { start: '', repeated: '\u0001\u0002garbage' },
-  'tail after a whole answer': { start: `${HEAD}Content-Length: 2\r\n\r\nok`, repeated: BLOCK },
-};
-
-/** Writes without end, as fast as the peer reads, until the connection closes. */
-function writeEndlessly(socket: Socket, { start, repeated }: EndlessAnswer): void {
-  const block = repeated.repeat(Math.max(1, Math.floor(BLOCK.length / repeated.length)));
-  const write = (): void => {
-    while (!socket.destroyed && socket.write(block));
-  };
-  socket.on('error', () => {});
-  socket.on('drain', write);
-  socket.write(start);
-  write();
-}
-
 async function listenRaw(context: TestContext, server: Server): Promise<number> {
   const sockets = new Set<Socket>();
   server.on('connection', (socket) => sockets.add(socket));
