Deliver answers that callers still read before a planned stop ends

Cause: a request counted as open until its answer was known, and what a slow caller had not read was dropped from the memory of the process at the exit.

Change: an answer counts as open until its last byte is written to the socket, its caller has gone or the grace time is nearly over.

--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -63,6 +63,9 @@
 
   #lastResponse: ServerResponse | null = null;
 
+  /** Answers that are not written to the socket completely, as their caller reads slowly. */
+  readonly #unwritten = new Set<ServerResponse>();
+
   #isClosed = false;
 
   /**
@@ -91,6 +94,11 @@
     return this.#options.socket.bytesRead === 0;
   }
 
+  /** @returns the number of answers that have bytes left to write to the socket */
+  get unwrittenAnswers(): number {
+    return this.#unwritten.size;
+  }
+
   /** @returns time since the connection was opened */
   get ageMs(): Milliseconds {
     return this.#options.clock.now() - this.#openedAt;
@@ -207,6 +215,12 @@
     if (open === undefined || open.outcome === null) return;
     const { response } = open.request;
     this.#lastResponse = response;
+    if (!response.destroyed) this.#unwritten.add(response);
+    const forget = (): void => {
+      this.#unwritten.delete(response);
+    };
+    response.once('finish', forget);
+    response.once('close', forget);
     writeAnswer(response, open.outcome, isLast);
   }
 
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -86,6 +86,11 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
 
+  /** @returns the number of answers that callers have not read so far that all bytes are written */
+  get unwrittenAnswers(): number {
+    return [...this.#connections.values()].reduce((sum, each) => sum + each.unwrittenAnswers, 0);
+  }
+
   /** Handles the held requests whose callers are still there. */
   release(): void {
     this.#connections.forEach((connection) => connection.release());
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -237,9 +237,10 @@
     return isDrained;
   }
 
-  /** @returns the number of requests and calls in flight */
+  /** @returns the number of requests and calls in flight, and of answers that are being written */
   get #openRequests(): number {
-    return this.#entry.openRequests + this.#gate.pendingCalls;
+    const { unwrittenAnswers } = this.#requestListener;
+    return this.#entry.openRequests + this.#gate.pendingCalls + unwrittenAnswers;
   }
 
   async #close(): Promise<void> {
--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -29,6 +29,8 @@
   readonly hosts: readonly { readonly service: string; readonly zone: string }[];
   readonly policy?: Readonly<Record<string, unknown>>;
   readonly slots?: number;
+  /** Time from the stop signal until the platform kills a node, in milliseconds. */
+  readonly stopDeadlineMs?: number;
 }
 
 /** A running fleet with its store. */
@@ -64,6 +66,7 @@
 export const HOST = 'shop.example';
 
 const DEFAULT_SLOTS = 10;
+const DEFAULT_STOP_DEADLINE_MS = 3000;
 const WAIT_TIMEOUT_MS = 10_000;
 const POLL_MS = 5;
 
@@ -208,7 +211,7 @@
       backendAddress: { host: ip, port: backendPort },
       storeAddress: { host: `${subnet}.250`, port: storePort },
       seeds: [],
-      stopDeadlineMs: 3000,
+      stopDeadlineMs: options.stopDeadlineMs ?? DEFAULT_STOP_DEADLINE_MS,
       memoryBytes: 350_000_000,
       retryBudget: { ratio: 0.2, slack: 49, windowMs: 10_000 },
     };
