Read request bodies so that they cannot wait for each other for good

Cause: when the bodies of all requests exceeded their memory, each was paused until bytes are released, and only requests that are whole release bytes. The time limit of a request began with its whole body.

Change: src/core/exchange/body-admission.ts grants a read only while all bodies can still become whole one after the other (the banker's algorithm), and keeps a tenth of the memory for small bodies. A body that is not whole at the timeout of its route is answered as not run: 408 when the caller was slow, 503 when the node held it back. Room for one privileged body was tried first; it served one of the five uploads in time.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -283,7 +283,7 @@
   requestIncomplete: {
     number: 2118,
     title: 'Request incomplete',
-    message: 'the headers of the request did not arrive in time',
+    message: 'the request did not arrive completely in time',
     hint: 'Send the request again; it has not run.',
     httpStatus: 408,
   },
--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -5,7 +5,7 @@
 import type { Instant, Milliseconds } from '../model/time.js';
 import { findRoute, type PolicyLookup } from '../policy/policy-lookup.js';
 import type { PrefixRoute, QuotaAccount } from '../policy/policy.js';
-import type { IncomingRequest } from './incoming-request.js';
+import type { IncomingHead, IncomingRequest } from './incoming-request.js';
 import type { Rank } from './mesh-call.js';
 
 /** Refusal of a request by a filter; the request has not run. */
@@ -118,14 +118,24 @@
     .digest('base64url');
 }
 
-function computeDeadline(
-  request: IncomingRequest,
-  route: PrefixRoute,
-  arrivedAt: Instant,
-): Instant {
-  const callerMs = request.callerTimeoutMs;
-  if (callerMs === null) return arrivedAt + route.timeoutMs;
-  return arrivedAt + Math.min(route.timeoutMs, Math.max(1, callerMs - CALLER_MARGIN_MS));
+function computeTimeout({ callerTimeoutMs }: IncomingHead, route: PrefixRoute): Milliseconds {
+  if (callerTimeoutMs === null) return route.timeoutMs;
+  return Math.min(route.timeoutMs, Math.max(1, callerTimeoutMs - CALLER_MARGIN_MS));
+}
+
+/**
+ * Computes how long a caller is kept waiting at most.
+ *
+ * @param lookup - the policy in force, or null when none is known
+ * @param head - head of the request
+ * @returns time from the arrival of the head to the final answer; null when there is no route
+ */
+export function findTimeLimit(
+  lookup: PolicyLookup | null,
+  head: IncomingHead,
+): Milliseconds | null {
+  const route = lookup === null ? null : findRoute(lookup, head.host, head.path);
+  return route === null ? null : computeTimeout(head, route);
 }
 
 /**
@@ -156,7 +166,7 @@
     };
     const service = view.chooseService(route);
     if (service === null) return err(refusal('noBackendServer', view.retryDelayMs(route)));
-    const deadline = computeDeadline(request, route, arrivedAt);
+    const deadline = arrivedAt + computeTimeout(request, route);
     if (!view.canServeUntil(deadline)) {
       return err(refusal('nodeLeaving', view.retryDelayMs(route)));
     }
--- /dev/null
+++ b/src/core/exchange/body-admission.ts
@@ -0,0 +1,188 @@
+import { Map as PersistentMap, OrderedSet } from 'immutable';
+import { step, type Decision, type Step } from '../task/decision.js';
+
+/** Number of a request body, unique within a node. */
+export type BodyNumber = number;
+
+/** Limits of the request bodies that a node holds in memory. */
+export interface BodyLimits {
+  /** Bytes of all bodies together. */
+  readonly totalBytes: number;
+  /** Bytes of one body. */
+  readonly bodyBytes: number;
+}
+
+interface HeldBody {
+  readonly heldBytes: number;
+  /** Bytes that it may hold when it is whole: its declared length, or the limit of a body. */
+  readonly wholeBytes: number;
+  /**
+   * Bytes granted to it outside of the reserve for small bodies, with those of its next read; 0 while
+   * it is held in the reserve.
+   */
+  readonly grantedBytes: number;
+}
+
+/** Request bodies in memory, and those that are not read further at the moment. */
+export interface BodyMemory {
+  readonly limits: BodyLimits;
+  readonly bodies: PersistentMap<BodyNumber, HeldBody>;
+  /** In the order in which they were paused. */
+  readonly paused: OrderedSet<BodyNumber>;
+  /** Bytes that are held in the reserve for small bodies. */
+  readonly smallBytes: number;
+  readonly grantedBytes: number;
+}
+
+/** What happened to a body. */
+export type BodyMessage =
+  | { readonly kind: 'limited'; readonly bodyBytes: number }
+  | {
+      readonly kind: 'received';
+      readonly number: BodyNumber;
+      readonly bytes: number;
+      /** Length that the caller stated; null for a body in chunks. */
+      readonly declaredBytes: number | null;
+    }
+  /** The body is no longer held, whether it was whole or not. */
+  | { readonly kind: 'released'; readonly number: BodyNumber };
+
+/** Action on the request of a body. */
+export interface BodyEffect {
+  readonly kind: 'pause' | 'resume';
+  readonly number: BodyNumber;
+}
+
+/** Part of the memory for bodies that is reserved for small ones. */
+const SMALL_SHARE = 0.1;
+
+/** A body up to this size counts as small; a read from a socket returns at most as much. */
+const SMALL_BODY_BYTES = 65_536;
+
+/**
+ * Creates the state of a node without bodies.
+ *
+ * @param limits - limits of the bodies, in bytes
+ * @returns the state
+ */
+export function createBodyMemory(limits: BodyLimits): BodyMemory {
+  return {
+    limits,
+    bodies: PersistentMap(),
+    paused: OrderedSet(),
+    smallBytes: 0,
+    grantedBytes: 0,
+  };
+}
+
+function reserveBytes({ totalBytes }: BodyLimits): number {
+  return totalBytes * SMALL_SHARE;
+}
+
+/** Bytes for all bodies outside of the reserve. */
+function capacity(limits: BodyLimits): number {
+  return limits.totalBytes - reserveBytes(limits);
+}
+
+function smallBytesOf(body: HeldBody | null | undefined): number {
+  return body?.grantedBytes === 0 ? body.heldBytes : 0;
+}
+
+/** Replaces a body, or removes it, and counts its bytes. */
+function setBody(state: BodyMemory, number: BodyNumber, next: HeldBody | null): BodyMemory {
+  const before = state.bodies.get(number);
+  const grantedBytes = (next?.grantedBytes ?? 0) - (before?.grantedBytes ?? 0);
+  return {
+    ...state,
+    bodies: next === null ? state.bodies.delete(number) : state.bodies.set(number, next),
+    smallBytes: state.smallBytes + smallBytesOf(next) - smallBytesOf(before),
+    grantedBytes: state.grantedBytes + grantedBytes,
+  };
+}
+
+/**
+ * Checks that all bodies can still become whole one after the other, each with the memory that those
+ * before it have released (the banker's algorithm for one resource).
+ */
+function isSafe({ limits, bodies, grantedBytes }: BodyMemory): boolean {
+  let freeBytes = capacity(limits) - grantedBytes;
+  if (freeBytes >= limits.bodyBytes) return true;
+  const needs = [...bodies.values()]
+    .filter((body) => body.grantedBytes > 0)
+    .map((body) => ({ ...body, missingBytes: body.wholeBytes - body.grantedBytes }));
+  needs.sort((left, right) => left.missingBytes - right.missingBytes);
+  return needs.every((need) => {
+    const canBecomeWhole = need.missingBytes <= 0 || need.missingBytes <= freeBytes;
+    freeBytes += need.grantedBytes;
+    return canBecomeWhole;
+  });
+}
+
+/** Grants one more read to a body, if it fits the reserve or is safe; null otherwise. */
+function grantRead(state: BodyMemory, number: BodyNumber, body: HeldBody): BodyMemory | null {
+  const { heldBytes, wholeBytes, grantedBytes } = body;
+  const isSmall = grantedBytes === 0 && heldBytes <= SMALL_BODY_BYTES;
+  if (isSmall && state.smallBytes <= reserveBytes(state.limits)) return state;
+  const nextBytes = Math.max(grantedBytes, Math.min(heldBytes + SMALL_BODY_BYTES, wholeBytes));
+  const next = setBody(state, number, { ...body, grantedBytes: nextBytes });
+  return isSafe(next) ? next : null;
+}
+
+/** Resumes the paused bodies that can be read further, in the order in which they were paused. */
+function resumePaused(before: BodyMemory): Step<BodyMemory, BodyEffect> {
+  let state = before;
+  const resumed: BodyNumber[] = [];
+  before.paused.forEach((number) => {
+    const body = state.bodies.get(number);
+    const next = body === undefined ? null : grantRead(state, number, body);
+    if (next === null) return;
+    state = next;
+    resumed.push(number);
+  });
+  return step(
+    { ...state, paused: state.paused.subtract(resumed) },
+    ...resumed.map((number): BodyEffect => ({ kind: 'resume', number })),
+  );
+}
+
+function receive(
+  state: BodyMemory,
+  { number, bytes, declaredBytes }: BodyMessage & { readonly kind: 'received' },
+): Step<BodyMemory, BodyEffect> {
+  const { limits } = state;
+  const before = state.bodies.get(number);
+  // A body that is larger than the memory for bodies is read when nothing else is held.
+  const wholeBytes = Math.min(declaredBytes ?? limits.bodyBytes, capacity(limits));
+  const body = before ?? { heldBytes: 0, wholeBytes, grantedBytes: 0 };
+  const received: HeldBody = { ...body, heldBytes: body.heldBytes + bytes };
+  const next = setBody(state, number, received);
+  if (received.heldBytes >= received.wholeBytes) return step(next);
+  const granted = grantRead(next, number, received);
+  if (granted !== null) return step(granted);
+  return step({ ...next, paused: next.paused.add(number) }, { kind: 'pause', number });
+}
+
+/**
+ * Decides which request bodies are read further. A body is read only while all bodies can still
+ * become whole, so bodies that compete for memory cannot wait for each other for good. Small bodies
+ * have a reserve and do not wait for large ones.
+ *
+ * @param state - the bodies in memory
+ * @param message - what happened to a body
+ * @returns the next state, and the requests to pause or to resume
+ */
+export const decideBodyAdmission: Decision<BodyMemory, BodyMessage, BodyEffect> = (
+  state,
+  message,
+) => {
+  switch (message.kind) {
+    case 'limited':
+      return resumePaused({ ...state, limits: { ...state.limits, bodyBytes: message.bodyBytes } });
+    case 'received':
+      return receive(state, message);
+    case 'released': {
+      const without = setBody(state, message.number, null);
+      return resumePaused({ ...without, paused: without.paused.delete(message.number) });
+    }
+  }
+};
--- a/src/core/publications/source.ts
+++ b/src/core/publications/source.ts
@@ -29,14 +29,12 @@
 
 /** The node that reads the store for this node. */
 export type ReaderChoice =
-  | { readonly kind: 'this-node' }
-  | { readonly kind: 'peer'; readonly address: string };
+  { readonly kind: 'this-node' } | { readonly kind: 'peer'; readonly address: string };
 
 /** Source of the published values. */
 export type Source =
   /** This node reads the store. */
-  | { readonly kind: 'store' }
-  | { readonly kind: 'feed'; readonly address: string };
+  { readonly kind: 'store' } | { readonly kind: 'feed'; readonly address: string };
 
 /** Current source, and the inputs of its choice. */
 export interface SourceState {
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CodeName } from '../core/errors/registry.js';
 import {
@@ -12,6 +12,7 @@
   type PipelineMessage,
   type RequestNumber,
 } from '../core/exchange/caller-pipeline.js';
+import type { IncomingHead } from '../core/exchange/incoming-request.js';
 import type { MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
@@ -20,7 +21,7 @@
 
 /** A request that has been read completely. */
 export interface CompleteRequest {
-  readonly request: IncomingMessage;
+  readonly head: IncomingHead;
   readonly response: ServerResponse;
   readonly body: Uint8Array;
   readonly arrivedAt: Instant;
--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -1,4 +1,15 @@
 import type { IncomingMessage } from 'node:http';
+import {
+  createBodyMemory,
+  decideBodyAdmission,
+  type BodyEffect,
+  type BodyLimits,
+  type BodyMemory,
+  type BodyMessage,
+  type BodyNumber,
+} from '../core/exchange/body-admission.js';
+import type { Clock, Milliseconds } from '../core/model/time.js';
+import { Task } from '../core/task/task.js';
 
 /** Result of reading a body. */
 export type BodyResult =
@@ -8,40 +19,68 @@
       /** Called once, when the body is no longer needed. */
       readonly release: () => void;
     }
-  | { readonly kind: 'too-large' };
+  | { readonly kind: 'too-large' }
+  /** The body did not become whole in time; `isHeldBack` tells whether this node was not reading. */
+  | { readonly kind: 'late'; readonly isHeldBack: boolean };
+
+/** Limits of one body. */
+export interface BodyReadOptions {
+  readonly maxBytes: number;
+  /** @returns time until the body has to be whole; null for any time */
+  readonly timeLimit: () => Milliseconds | null;
+}
 
 const EMPTY_BODY = new Uint8Array();
 
 /** Reads the bodies of requests into memory, of which they share a limited part. */
 export class RequestBodies {
-  readonly #maxBufferedBytes: number;
+  readonly #admission: Task<BodyMemory, BodyMessage, BodyEffect>;
 
-  #bufferedBytes = 0;
+  /** Requests whose bodies are being read. */
+  readonly #reading = new Map<BodyNumber, IncomingMessage>();
 
-  /** Requests whose bodies are not read further until buffered bytes are released. */
-  readonly #paused = new Set<IncomingMessage>();
+  #nextNumber: BodyNumber = 1;
+
+  /**
+   * @param limits - limits of the bodies, in bytes
+   * @param clock - the clock
+   */
+  constructor(limits: BodyLimits, clock: Clock) {
+    this.#admission = new Task({
+      initial: createBodyMemory(limits),
+      decide: decideBodyAdmission,
+      perform: (effect) => this.#perform(effect),
+      clock,
+    });
+  }
 
   /**
-   * @param maxBufferedBytes - bytes of all bodies above which no more is read
+   * Changes the limit of one body.
+   *
+   * @param bodyBytes - the limit, in bytes
    */
-  constructor(maxBufferedBytes: number) {
-    this.#maxBufferedBytes = maxBufferedBytes;
+  limitBody(bodyBytes: number): void {
+    this.#admission.send({ kind: 'limited', bodyBytes });
   }
 
   /**
    * Reads the body of a request.
    *
    * @param request - the request
-   * @param maxBytes - limit of its body
+   * @param options - limits of its body
    * @param onResult - called at most once; never when the connection ends before the body
    */
-  read(request: IncomingMessage, maxBytes: number, onResult: (result: BodyResult) => void): void {
+  read(
+    request: IncomingMessage,
+    options: BodyReadOptions,
+    onResult: (result: BodyResult) => void,
+  ): void {
     const { headers } = request;
-    if (Number(headers['content-length'] ?? 0) > maxBytes) {
+    if (Number(headers['content-length'] ?? 0) > options.maxBytes) {
       request.resume();
       onResult({ kind: 'too-large' });
     } else if ('content-length' in headers || 'transfer-encoding' in headers) {
-      this.#readChunks(request, maxBytes, onResult);
+      this.#readChunks(request, options, onResult);
     } else {
       onResult({ kind: 'complete', body: EMPTY_BODY, release: () => {} });
     }
@@ -49,48 +88,68 @@
 
   #readChunks(
     request: IncomingMessage,
-    maxBytes: number,
+    { maxBytes, timeLimit }: BodyReadOptions,
     onResult: (result: BodyResult) => void,
   ): void {
+    const number = this.#nextNumber;
+    this.#nextNumber += 1;
+    this.#reading.set(number, request);
+    const declaredLength = request.headers['content-length'];
+    const declaredBytes = declaredLength === undefined ? null : Number(declaredLength);
     const chunks: Buffer[] = [];
     let length = 0;
-    let isEnded = false;
-    const release = (): void => {
-      this.#release(length);
-      length = 0;
+    let timer: NodeJS.Timeout | null = null;
+    const release = (): void => this.#admission.send({ kind: 'released', number });
+    /** Ends the reading once, and tells whether it was still going on. */
+    const endReading = (): boolean => {
+      if (timer !== null) clearTimeout(timer);
+      return this.#reading.delete(number);
     };
+    const giveUp = (result: BodyResult): void => {
+      if (!endReading()) return;
+      chunks.length = 0;
+      release();
+      // The rest is read and dropped, or the caller could not read the answer.
+      request.resume();
+      onResult(result);
+    };
+    const timeoutMs = timeLimit();
+    if (timeoutMs !== null) {
+      timer = setTimeout(() => {
+        const isHeldBack = this.#admission.state.paused.has(number);
+        giveUp({ kind: 'late', isHeldBack });
+      }, timeoutMs);
+    }
     request.on('data', (chunk: Buffer) => {
-      if (isEnded) return;
+      if (!this.#reading.has(number)) return;
       chunks.push(chunk);
       length += chunk.length;
-      this.#bufferedBytes += chunk.length;
       if (length > maxBytes) {
-        isEnded = true;
-        release();
-        onResult({ kind: 'too-large' });
-      } else if (this.#bufferedBytes > this.#maxBufferedBytes) {
-        request.pause();
-        this.#paused.add(request);
+        giveUp({ kind: 'too-large' });
+        return;
       }
+      this.#admission.send({ kind: 'received', number, bytes: chunk.length, declaredBytes });
     });
     request.on('end', () => {
-      if (isEnded) return;
-      isEnded = true;
-      onResult({ kind: 'complete', body: Buffer.concat(chunks), release });
+      if (endReading()) onResult({ kind: 'complete', body: Buffer.concat(chunks), release });
     });
     request.on('close', () => {
-      this.#paused.delete(request);
       // A body that is held back may have arrived completely without ever being read to its end.
-      if (!isEnded) release();
+      if (endReading()) release();
     });
     // The close event that follows handles an incomplete request.
     request.on('error', () => {});
   }
 
-  #release(bytes: number): void {
-    this.#bufferedBytes -= bytes;
-    if (this.#bufferedBytes > this.#maxBufferedBytes) return;
-    this.#paused.forEach((request) => request.resume());
-    this.#paused.clear();
+  #perform({ kind, number }: BodyEffect): void {
+    const request = this.#reading.get(number);
+    switch (kind) {
+      case 'pause':
+        request?.pause();
+        break;
+      case 'resume':
+        request?.resume();
+        break;
+    }
   }
 }
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -3,7 +3,7 @@
 import type { Duplex } from 'node:stream';
 import type { CodeName } from '../core/errors/registry.js';
 import type { Dialect } from '../core/exchange/dialect.js';
-import type { IncomingRequest } from '../core/exchange/incoming-request.js';
+import type { IncomingHead, IncomingRequest } from '../core/exchange/incoming-request.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { CallerLimits } from '../core/policy/policy.js';
 import { CallerConnection, type CompleteRequest } from './caller-connection.js';
@@ -17,6 +17,8 @@
   /** Limit of the bytes of request bodies that are buffered at the same time. */
   readonly maxBufferedBytes: number;
   readonly handle: (request: IncomingRequest, arrivedAt: Instant) => Exchange;
+  /** @returns time from the head of a request to its deadline; null when it is not known */
+  readonly timeLimit: (head: IncomingHead) => Milliseconds | null;
   /** @returns whether requests wait until `release`, in case their callers left during a pause */
   readonly isHeld: () => boolean;
   readonly isStopping: () => boolean;
@@ -59,7 +61,9 @@
    */
   constructor(options: RequestListenerOptions) {
     this.#options = options;
-    this.#bodies = new RequestBodies(options.maxBufferedBytes);
+    const { maxBufferedBytes, clock } = options;
+    const limits = { totalBytes: maxBufferedBytes, bodyBytes: INITIAL_MAX_BODY_BYTES };
+    this.#bodies = new RequestBodies(limits, clock);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -82,6 +86,7 @@
    */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
+    this.#bodies.limitBody(limits.bodyBytes);
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
@@ -112,34 +117,38 @@
     const connection = this.#connections.get(request.socket);
     const arrivedAt = this.#options.clock.now();
     const maxBytes = this.#limits?.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
-    this.#bodies.read(request, maxBytes, (result) => {
+    const head = this.#readHead(request);
+    const refuse = (code: CodeName): void => {
+      this.#options.onUnreadRefusal(code);
+      const unread = { head, response, body: EMPTY_BODY, arrivedAt, release: () => {} };
+      connection?.refuse(unread, code);
+    };
+    const timeLimit = (): Milliseconds | null => this.#options.timeLimit(head);
+    this.#bodies.read(request, { maxBytes, timeLimit }, (result) => {
       switch (result.kind) {
         case 'complete': {
           const { body, release } = result;
-          const complete: CompleteRequest = { request, response, body, arrivedAt, release };
+          const complete: CompleteRequest = { head, response, body, arrivedAt, release };
           if (connection === undefined) release();
           else connection.receive(complete);
           break;
         }
         case 'too-large':
-          this.#options.onUnreadRefusal('requestTooLarge');
-          connection?.refuse(
-            { request, response, body: EMPTY_BODY, arrivedAt, release: () => {} },
-            'requestTooLarge',
-          );
+          refuse('requestTooLarge');
+          break;
+        case 'late':
+          refuse(result.isHeldBack ? 'deadlineUnreachable' : 'requestIncomplete');
           break;
       }
     });
   }
 
-  #handle({ request, body, arrivedAt }: CompleteRequest): Exchange {
-    const { dialect, handle } = this.#options;
-    const head = dialect.readRequest({
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
-      rawHeaders: request.rawHeaders,
-    });
-    return handle({ ...head, body }, arrivedAt);
+  #handle({ head, body, arrivedAt }: CompleteRequest): Exchange {
+    return this.#options.handle({ ...head, body }, arrivedAt);
+  }
+
+  #readHead({ method = 'GET', url = '/', rawHeaders }: IncomingMessage): IncomingHead {
+    return this.#options.dialect.readRequest({ method, target: url, rawHeaders });
   }
 
   /**
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -3,6 +3,7 @@
 import { closedReason, findInstance } from '../core/directory/directory.js';
 import type { CodeName, Details } from '../core/errors/registry.js';
 import { formatFault, type Fault } from '../core/errors/fault.js';
+import { findTimeLimit } from '../core/exchange/admission-pipeline.js';
 import type { Milliseconds } from '../core/model/time.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
 import { listen } from '../runtime/listen.js';
@@ -136,6 +137,7 @@
       dialect,
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
+      timeLimit: (head) => findTimeLimit(this.#controlPath.policy.lookup, head),
       isHeld: () => this.#pauseWatch.check(),
       isStopping: () => this.#plannedStop !== null,
       onUnreadRefusal: (code) => this.#metrics.entryAnswers.inc({ code }),
--- a/test/sidecar/caller-disconnect.test.ts
+++ b/test/sidecar/caller-disconnect.test.ts
@@ -38,6 +38,7 @@
     dialect: httpDialect,
     maxBufferedBytes,
     handle,
+    timeLimit: () => null,
     isHeld: () => isHeld,
     isStopping: () => false,
     onUnreadRefusal: () => {},
--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -31,6 +31,8 @@
   readonly slots?: number;
   /** Time from the stop signal until the platform kills a node, in milliseconds. */
   readonly stopDeadlineMs?: number;
+  /** Limit of the memory of a node, in bytes. */
+  readonly memoryBytes?: number;
 }
 
 /** A running fleet with its store. */
@@ -67,6 +69,7 @@
 
 const DEFAULT_SLOTS = 10;
 const DEFAULT_STOP_DEADLINE_MS = 3000;
+const DEFAULT_MEMORY_BYTES = 350_000_000;
 const WAIT_TIMEOUT_MS = 10_000;
 const POLL_MS = 5;
 
@@ -212,7 +215,7 @@
       storeAddress: { host: `${subnet}.250`, port: storePort },
       seeds: [],
       stopDeadlineMs: options.stopDeadlineMs ?? DEFAULT_STOP_DEADLINE_MS,
-      memoryBytes: 350_000_000,
+      memoryBytes: options.memoryBytes ?? DEFAULT_MEMORY_BYTES,
       retryBudget: { ratio: 0.2, slack: 49, windowMs: 10_000 },
     };
     const platform = createPlatformConnection(settings.storeAddress);
--- a/test/sidecar/pipelining.test.ts
+++ b/test/sidecar/pipelining.test.ts
@@ -61,6 +61,7 @@
     dialect: httpDialect,
     maxBufferedBytes: 10_000_000,
     handle,
+    timeLimit: () => null,
     isHeld: () => isHeld,
     isStopping: () => isStopping,
     onUnreadRefusal: () => {},
