Hold removals back only after an outage in which entries expire

Cause: each failed call to the store counted as an outage, and removals around an outage take effect 2.2 s late.

Change: removals are held back only after 2.5 s without an answer. The platform removes an entry after three silent heartbeat intervals of 1.5 s, two of which lie in the outage.

--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -57,6 +57,14 @@
  */
 const LAPSE_HOLD_MS: Milliseconds = 2200;
 
+/**
+ * Shortest time without an answer of the store in which entries may expire. The platform removes an
+ * entry after three silent heartbeat intervals of 1.5 s, the first of which may have begun before the
+ * outage; backend servers report approximately at these intervals. A call that was cut and succeeds
+ * when it is repeated is no outage.
+ */
+const SHORTEST_LAPSE_MS: Milliseconds = 2500;
+
 /** Message to the publication task. */
 export type PublicationMessage =
   | { readonly kind: 'start' }
@@ -81,7 +89,11 @@
 
   #lostAt: Instant | null = null;
 
-  #regainedAt: Instant = Number.NEGATIVE_INFINITY;
+  /** When the store, or the node that reads it for this one, last answered. */
+  #answeredAt: Instant = Number.NEGATIVE_INFINITY;
+
+  /** End of the last outage in which entries may have expired. */
+  #lapseEndedAt: Instant = Number.NEGATIVE_INFINITY;
 
   /** Removals that take effect at the instant `until`, with the value before the removal. */
   readonly #heldRemovals = new Map<
@@ -114,9 +126,10 @@
     return { revision: this.#mirror.revision, isStoreLost: this.#lostAt !== null };
   }
 
-  /** @returns whether the last outage ended more than `LAPSE_HOLD_MS` ago */
+  /** @returns whether no entry that expired in an outage may still be registered again */
   get isSettled(): boolean {
-    return this.#lostAt === null && this.#options.clock.now() - this.#regainedAt > LAPSE_HOLD_MS;
+    const now = this.#options.clock.now();
+    return !this.#isLapsePossible(now) && now - this.#lapseEndedAt > LAPSE_HOLD_MS;
   }
 
   /**
@@ -244,13 +257,19 @@
     }
   }
 
+  /** Whether the store has been lost for so long that entries may have expired. */
+  #isLapsePossible(now: Instant): boolean {
+    return this.#lostAt !== null && now - this.#answeredAt >= SHORTEST_LAPSE_MS;
+  }
+
   #markRegained(): void {
+    const now = this.#options.clock.now();
+    if (this.#isLapsePossible(now)) this.#lapseEndedAt = now;
+    this.#answeredAt = now;
     this.#failures = 0;
     if (this.#lostAt === null) return;
-    const now = this.#options.clock.now();
     const lostMs = Math.round(now - this.#lostAt);
     this.#lostAt = null;
-    this.#regainedAt = now;
     this.#options.report('storeRegained', { revision: this.#mirror.revision, lostMs });
     this.#options.statusChanged();
   }
--- a/test/sidecar/publication-task.test.ts
+++ b/test/sidecar/publication-task.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Directory } from '../../src/core/directory/directory.js';
 import type { Publication } from '../../src/core/publications/publication.js';
 import type { StoreReply } from '../../src/core/publications/store-reply.js';
@@ -9,22 +10,41 @@
 const ENTRY: Publication = { key: KEY, revision: 1, text: '{}' };
 const REMOVED: Publication = { key: KEY, revision: 2, text: null };
 
-/** Creates a task that has read the store once and had no outage, with the events it reports. */
-async function settledTask(): Promise<{
+/** Start of the clock of a test. */
+const START_MS = 10_000;
+
+/** Calls to the store are repeated within this time, with the least jitter. */
+const RETRY_MS = 400;
+
+interface TaskOptions {
+  /** Replies to the calls to the store, in order; the call behind the last one waits. */
+  readonly replies: readonly StoreReply[];
+  /** Time on the clock of the task that passes before each reply but the first. */
+  readonly replyMs: number;
+}
+
+interface ReadingTask {
   readonly task: PublicationTask;
   readonly instances: () => number;
   readonly held: readonly string[];
-}> {
+}
+
+/** Creates a task that reads the store, with the events it reports. */
+function startTask({ replies, replyMs }: TaskOptions): ReadingTask {
   let directory: Directory | null = null;
   const held: string[] = [];
+  const pending = [...replies];
+  let now = START_MS - replyMs;
+  const answerNext = (): Promise<StoreReply> => {
+    const reply = pending.shift();
+    if (reply === undefined) return new Promise<StoreReply>(() => {});
+    now += replyMs;
+    return Promise.resolve(reply);
+  };
   const task = new PublicationTask({
-    clock: { now: () => 10_000 },
-    random: () => 0.5,
-    store: {
-      list: () => Promise.resolve({ kind: 'listing', publications: [ENTRY], asOf: 1 }),
-      watch: () => new Promise<StoreReply>(() => {}),
-      cancel: () => {},
-    },
+    clock: { now: () => now },
+    random: () => 0,
+    store: { list: answerNext, watch: answerNext, cancel: () => {} },
     decodeValue: ({ key }) => ({
       kind: 'instance',
       instance: {
@@ -48,10 +68,18 @@
     statusChanged: () => {},
   });
   task.send({ kind: 'start' });
+  return { task, instances: () => directory?.instances.length ?? 0, held };
+}
+
+const LISTING: StoreReply = { kind: 'listing', publications: [ENTRY], asOf: 1 };
+
+/** Creates a task that has read the store once and had no outage. */
+async function settledTask(): Promise<ReadingTask> {
+  const started = startTask({ replies: [LISTING], replyMs: 0 });
   await new Promise((resolve) => {
     setImmediate(resolve);
   });
-  return { task, instances: () => directory?.instances.length ?? 0, held };
+  return started;
 }
 
 test('a removal takes effect at once when only the reader has just had an outage', async () => {
@@ -64,3 +92,31 @@
   assert.equal(instances(), 0);
   task.close();
 });
+
+const CUT: StoreReply = { kind: 'unavailable', reason: 'other side closed' };
+const LISTING_WITHOUT: StoreReply = { kind: 'listing', publications: [], asOf: 2 };
+
+test('a removal takes effect at once after a watch was cut', async () => {
+  // Guards against requests to a backend server that has left: a store that cut a waiting watch and
+  // answered the next call counted as an outage, so its removals were held back.
+  const { task, instances, held } = startTask({
+    replies: [LISTING, CUT, LISTING_WITHOUT],
+    replyMs: 200,
+  });
+  await sleep(RETRY_MS);
+  assert.deepEqual(held, []);
+  assert.equal(instances(), 0);
+  task.close();
+});
+
+test('a removal is held back after an outage in which entries expire', async () => {
+  // Guards against backend servers that are dropped because their entries expired in an outage.
+  const { task, instances, held } = startTask({
+    replies: [LISTING, CUT, LISTING_WITHOUT],
+    replyMs: 1500,
+  });
+  await sleep(RETRY_MS);
+  assert.deepEqual(held, [KEY]);
+  assert.equal(instances(), 1);
+  task.close();
+});
