--- a/test/sidecar/late-link.test.ts
+++ b/test/sidecar/late-link.test.ts
@@ -6,12 +6,12 @@
 import type { DispatchTask } from '../../src/sidecar/dispatch-task.js';
 import { callPeerGate, type GateCall } from '../../src/sidecar/gate-call.js';
 import { GateServer } from '../../src/sidecar/gate-server.js';
-import { MeshTask, type MeshEvent } from '../../src/sidecar/mesh-task.js';
-import { ReadBarrier } from '../../src/sidecar/read-barrier.js';
+import type { MeshTask } from '../../src/sidecar/mesh-task.js';
 import { listenOn } from '../../standin/host-process.js';
 import type { PlatformBackend } from '../../standin/platform-backend.js';
 import { callOf, startGate } from './gate.js';
 import { LinkProxy } from './link-proxy.js';
+import { createMesh } from './mesh.js';
 
 /** Time between two held-up segments when they arrive, as the kernel sends them again. */
 const SEGMENT_GAP_MS = 50;
@@ -25,17 +25,6 @@
   readonly call: (call: MeshCall) => GateCall;
 }
 
-function createMesh(node: string, onEvent: (event: MeshEvent) => void): MeshTask {
-  return new MeshTask({
-    node,
-    address: `${node}:1`,
-    clock: monotonicClock,
-    maxFrameBytes: 1_000_000,
-    readBarrier: new ReadBarrier(monotonicClock),
-    onEvent,
-  });
-}
-
 function serveGate(gate: DispatchTask): MeshTask {
   const server = new GateServer(gate);
   return createMesh('gate', (event) => {
--- a/test/sidecar/silent-link.test.ts
+++ b/test/sidecar/silent-link.test.ts
@@ -2,12 +2,11 @@
 import { test, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MeshFrame } from '../../src/core/exchange/mesh-frame.js';
-import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
-import { MeshTask, type MeshEvent } from '../../src/sidecar/mesh-task.js';
-import { ReadBarrier } from '../../src/sidecar/read-barrier.js';
+import type { MeshTask } from '../../src/sidecar/mesh-task.js';
 import { listenOn } from '../../standin/host-process.js';
 import { waitFor } from './fleet.js';
 import { LinkProxy } from './link-proxy.js';
+import { createMesh } from './mesh.js';
 
 /** Time after a reset of its connections from which the platform holds a node to its bounds. */
 const TOUCH_MS = 3000;
@@ -25,17 +24,6 @@
   readonly losses: readonly string[];
 }
 
-function createMesh(node: string, onEvent: (event: MeshEvent) => void): MeshTask {
-  return new MeshTask({
-    node,
-    address: `${node}:1`,
-    clock: monotonicClock,
-    maxFrameBytes: 1_000_000,
-    readBarrier: new ReadBarrier(monotonicClock),
-    onEvent,
-  });
-}
-
 /** Starts two nodes, one of which sends the other its status and expects no answer. */
 async function startPair(context: TestContext): Promise<LinkedPair> {
   const receivedAt: number[] = [];
