Log large changes of the limit that the processor sets to a gate

The new test of the reporting fails on the code before for want of the function; 47 tests of test/core/dispatch and of the operations page pass.

--- a/src/core/dispatch/processor-limit.ts
+++ b/src/core/dispatch/processor-limit.ts
@@ -44,6 +44,23 @@
 /** A node in calm that is busy with one long event still runs this many calls. */
 const MIN_CALLS = 8;
 
+/** A limit that changes by less than this factor is not reported anew. */
+const REPORTED_RATIO = 1.5;
+
+/**
+ * Checks whether a change of the limit is worth a line in the log: it starts, ends, or permits far
+ * more or fewer calls than when it was last reported.
+ *
+ * @param reported - the limit that was last reported
+ * @param current - the limit now
+ * @returns whether to report it
+ */
+export function isReportable(reported: ProcessorLimit, current: ProcessorLimit): boolean {
+  if (reported.kind === 'none' || current.kind === 'none') return reported.kind !== current.kind;
+  const ratio = current.calls / reported.calls;
+  return ratio >= REPORTED_RATIO || ratio <= 1 / REPORTED_RATIO;
+}
+
 /**
  * Adjusts the limit so that the processor stays just below saturation. Each call that a backend
  * server runs costs its node more than the call itself, since the calls that it makes pass the node
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -27,6 +27,7 @@
 import { BackendSender, type RunningCall } from './backend-sender.js';
 import { NoticeFilter } from './notice-filter.js';
 import { describeGateDecision, type PendingCall } from './gate-decision.js';
+import { ProcessorLimitLog } from './processor-limit-log.js';
 import type { ProcessorWatch } from './processor-watch.js';
 
 /** Options of the gate. */
@@ -74,6 +75,8 @@
 
   readonly #notices: NoticeFilter;
 
+  readonly #processorLimitLog: ProcessorLimitLog;
+
   #nextCallId: CallId = 1;
 
   #queueTimer: NodeJS.Timeout | null = null;
@@ -101,6 +104,7 @@
       isLeaving: () => this.#task.state.isBackendLeaving,
       send: (message) => this.#task.send(message),
     });
+    this.#processorLimitLog = new ProcessorLimitLog(log);
     this.#sender = new BackendSender(options);
     this.#monitor = new BackendMonitor({
       url,
@@ -117,6 +121,11 @@
     return this.#pendingCalls.size;
   }
 
+  /** @returns the number of calls that may run at the same time */
+  get limit(): number {
+    return dispatchLimit(this.#task.state);
+  }
+
   /** @returns whether the gate accepts calls and the backend server is known to accept requests */
   get isOpen(): boolean {
     const { state } = this.#task;
@@ -402,10 +411,11 @@
     code: CodeName,
     status: number,
   ): void {
-    const now = this.#options.clock.now();
-    this.#options.log.write(
-      describeGateDecision({ pending, run, code, status, state: this.#task.state, now }),
-    );
+    const { clock, log, processorWatch } = this.#options;
+    const { state } = this.#task;
+    const { utilization } = processorWatch;
+    const now = clock.now();
+    log.write(describeGateDecision({ pending, run, code, status, state, utilization, now }));
   }
 
   /**
@@ -426,15 +436,11 @@
   #measureProcessor(): void {
     const use = this.#options.processorWatch.takeUse();
     if (use === null) return;
-    const before = this.#task.state.processorLimit.kind;
     this.#task.send({ kind: 'processor-measured', ...use });
-    const { processorLimit } = this.#task.state;
-    if (processorLimit.kind === before) return;
-    this.#logEvent('processorLimit', {
-      state: processorLimit.kind === 'limited' ? 'saturated' : 'relaxed',
-      utilization: Math.round(use.utilization * 100) / 100,
-      limit: dispatchLimit(this.#task.state),
-    });
+    const { state } = this.#task;
+    const { utilization } = use;
+    const calls = dispatchLimit(state);
+    this.#processorLimitLog.update({ limit: state.processorLimit, utilization, calls });
   }
 
   #logEvent(code: CodeName, details: Readonly<Record<string, string | number>>): void {
--- a/src/sidecar/gate-decision.ts
+++ b/src/sidecar/gate-decision.ts
@@ -24,6 +24,8 @@
   /** HTTP status of the backend server; 0 without an answer. */
   readonly status: number;
   readonly state: DispatchState;
+  /** Share of the time in which the event loop of the node handled events, from 0 to 1. */
+  readonly utilization: number;
   readonly now: Instant;
 }
 
@@ -39,6 +41,7 @@
   code,
   status,
   state,
+  utilization,
   now,
 }: GateDecision): LogEntry {
   return {
@@ -54,6 +57,7 @@
       running: state.running.size,
       queued: state.queue.length,
       limit: dispatchLimit(state),
+      processor: Math.round(utilization * 100) / 100,
       condition: state.condition.kind,
       statedLimit:
         state.startLimit.kind === 'limited'
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -102,6 +102,15 @@
     return currentPressure(this.#nestedPressure, this.#options.clock.now());
   }
 
+  /** @returns the lowest share of the requests of each route that is admitted at present */
+  get admittedShares(): ReadonlyMap<RouteName, number> {
+    const shares = new Map<RouteName, number>();
+    this.#admissions.forEach(({ route, fraction }) => {
+      shares.set(route, Math.min(fraction, shares.get(route) ?? 1));
+    });
+    return shares;
+  }
+
   /**
    * Handles a message.
    *
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -82,6 +82,19 @@
     registers: [this.registry],
   });
 
+  readonly gateLimit = new Gauge({
+    name: 'almondhoist_gate_call_limit',
+    help: 'Calls that the gate lets run at the same time',
+    registers: [this.registry],
+  });
+
+  readonly admittedShare = new Gauge({
+    name: 'almondhoist_admitted_share',
+    help: 'Share of the requests of a route that the entry admits, for its least important accounts',
+    labelNames: ['route'],
+    registers: [this.registry],
+  });
+
   readonly pressure = new Gauge({
     name: 'almondhoist_gate_pressure',
     help: 'Share of the allowed wait that calls face at the gate and behind it',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -381,6 +381,10 @@
     this.#metrics.storeReader.set(this.#controlPath.feed.source.kind === 'store' ? 1 : 0);
     const { pressure, downstreamPressure } = this.#gate.load;
     this.#metrics.pressure.set(Math.max(pressure, downstreamPressure));
+    this.#metrics.gateLimit.set(this.#gate.limit);
+    this.#fleet.loads.admittedShares.forEach((share, route) =>
+      this.#metrics.admittedShare.set({ route }, share),
+    );
     this.#metrics.processorUtilization.set(this.#processorWatch.utilization);
   }
 
--- a/test/core/dispatch/processor-limit.test.ts
+++ b/test/core/dispatch/processor-limit.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import {
   adjustProcessorLimit,
+  isReportable,
   noProcessorLimit,
   PROCESSOR_INTERVAL_MS,
   type ProcessorLimit,
@@ -47,3 +48,21 @@
   }
   assert.deepEqual(limit, noProcessorLimit);
 });
+
+test('a limit that falls while the processor stays saturated is reported more than once', () => {
+  // Guards against a log that says when a gate was limited first, but not that it lost most of it.
+  let limit = adjust(noProcessorLimit, 1, USABLE);
+  let reported = limit;
+  const reportedCalls = [callsOf(limit)];
+  for (let interval = 0; interval < 40; interval += 1) {
+    limit = adjust(limit, 1, callsOf(limit));
+    if (isReportable(reported, limit)) {
+      reported = limit;
+      reportedCalls.push(callsOf(limit));
+    }
+  }
+  assert.ok(reportedCalls.length <= 12, `${reportedCalls.length} lines`);
+  assert.ok(callsOf(reported) <= 1.5 * callsOf(limit), `${callsOf(reported)} was reported last`);
+  assert.equal(isReportable(limit, noProcessorLimit), true);
+  assert.equal(isReportable(noProcessorLimit, noProcessorLimit), false);
+});
