Let each rank keep a least share of its requests in a shared overload

Cause: higher ranks were spared until 0.15 of the lowest was admitted, and the lowest fell to 0.1 and stayed there, since the six saturated nodes kept reporting pressure at any share (0.84 to 1.0 of their time was used from 0.4 s on). And after each fall of the pressure the admitted share rose by up to 0.4 in 0.1 s, long before the requests it let in made their calls, so that they lost them again.

Now a rank keeps 0.2 of its requests while others that meet the same overload have more, the ranks above give way at the same pressure until they are down to it, and shares rise by half as much.

--- a/src/core/shedding/root-admission.ts
+++ b/src/core/shedding/root-admission.ts
@@ -13,9 +13,13 @@
  */
 const DECREASE_SHARE = 0.3;
 
-/** Increase per interval: a fixed step, plus this share of the fraction at zero pressure. */
+/**
+ * Increase per interval: a fixed step, plus this share of the fraction at zero pressure. The pressure
+ * shows the effect of an increase only after the running requests have made their calls, so a faster
+ * one overshoots: what it admits too much loses its calls after others have run.
+ */
 const INCREASE_STEP = 0.02;
-const INCREASE_SHARE = 0.4;
+const INCREASE_SHARE = 0.2;
 
 /** Fraction that is always admitted; only its replies show that the pressure has dropped. */
 const MIN_FRACTION = 0.1;
@@ -31,6 +35,14 @@
 /** One step of account priority counts as much as this many steps of route priority. */
 const LEVELS_PER_ACCOUNT_PRIORITY = 2;
 
+/** How requests of a rank give way in an overload that other ranks meet too. */
+export interface OverloadDuty {
+  /** Rank whose threshold of the pressure applies. */
+  readonly thresholdRank: Rank;
+  /** Whether others give way first, so that the admitted share does not fall. */
+  readonly isSpared: boolean;
+}
+
 /** Share of the root requests of one route and account priority that is admitted. */
 export interface RootAdmission {
   readonly fraction: number;
@@ -56,16 +68,15 @@
 function adjustFraction(
   admission: RootAdmission,
   pressure: number,
-  rank: Rank,
-  isProtected: boolean,
+  { thresholdRank, isSpared }: OverloadDuty,
   now: Instant,
 ): RootAdmission {
   const passedMs = now - admission.adjustedAt;
   if (passedMs < ADJUST_INTERVAL_MS) return admission;
   // A node with few requests adjusts the fraction by as much as one with many.
   const intervals = Math.min(MAX_INTERVALS, passedMs / ADJUST_INTERVAL_MS);
-  const threshold = pressureThreshold(rank);
-  const excess = isProtected ? Math.min(0, pressure - threshold) : pressure - threshold;
+  const threshold = pressureThreshold(thresholdRank);
+  const excess = isSpared ? Math.min(0, pressure - threshold) : pressure - threshold;
   const fraction =
     excess > 0
       ? Math.max(MIN_FRACTION, admission.fraction * (1 - DECREASE_SHARE * excess) ** intervals)
@@ -83,19 +94,17 @@
  *
  * @param before - admission of requests of this route and account priority
  * @param pressure - pressure of the services that such requests use, from 0 to 1
- * @param rank - rank of the request
- * @param isProtected - whether requests of lower ranks are to be shed first
+ * @param duty - how requests of this rank give way
  * @param now - the current instant
  * @returns the decision and the next admission
  */
 export function admitRoot(
   before: RootAdmission,
   pressure: number,
-  rank: Rank,
-  isProtected: boolean,
+  duty: OverloadDuty,
   now: Instant,
 ): RootAdmissionStep {
-  const admission = adjustFraction(before, pressure, rank, isProtected, now);
+  const admission = adjustFraction(before, pressure, duty, now);
   const credit = Math.min(2, admission.credit + admission.fraction);
   return credit >= 1
     ? { admission: { ...admission, credit: credit - 1 }, isAdmitted: true }
--- a/src/core/shedding/route-load.ts
+++ b/src/core/shedding/route-load.ts
@@ -7,7 +7,7 @@
   currentPressure,
   type SmoothedPressure,
 } from './smoothed-pressure.js';
-import type { RootAdmission } from './root-admission.js';
+import type { OverloadDuty, RootAdmission } from './root-admission.js';
 
 /**
  * Load that root requests of one route encounter. It covers the case of an overloaded service
@@ -45,8 +45,12 @@
 /** Time for which a route counts as affected by a downstream overload after the last failure. */
 const DOWNSTREAM_OVERLOAD_MS: Milliseconds = 3000;
 
-/** Higher ranks are not shed while more than this fraction of a lower rank is admitted. */
-const PROTECTION_MIN_FRACTION = 0.15;
+/**
+ * Share of its requests that each rank keeps while others that meet the same overload have more.
+ * Without it, an overload that serves half of the requests serves next to none of the lowest rank.
+ * `docs/decisions/platform-path.md` compares values.
+ */
+export const LEAST_SHARE = 0.2;
 
 /** Ranks without requests for this time are ignored, since shedding them frees no capacity. */
 const RECENT_ADMISSION_MS: Milliseconds = 3000;
@@ -176,29 +180,40 @@
 }
 
 /**
- * Checks whether requests of a rank are protected from shedding. They are while requests of a lower
- * rank that are also affected by a downstream overload are still admitted.
+ * Decides how requests of a rank give way in a downstream overload. The lowest rank gives way until
+ * its least share is left. Then the ranks above it do, at the same pressure, until they are down to
+ * their least shares too, and only after that do all fall further.
  *
  * @param loads - loads of all routes
  * @param admissions - admissions of all routes and ranks
- * @param route - route of the requests
- * @param rank - rank of the requests
+ * @param own - route, rank and admitted share of the requests
  * @param now - the current instant
- * @returns whether requests of lower ranks have to be shed first
+ * @returns the duty; ranks do not matter to routes without a downstream overload
  */
-export function isProtected(
+export function overloadDuty(
   loads: RouteLoads,
   admissions: Iterable<RankedAdmission>,
-  route: RouteName,
-  rank: Rank,
+  own: Pick<RankedAdmission, 'route' | 'rank' | 'fraction'>,
   now: Instant,
-): boolean {
-  if (!hasDownstreamOverload(loads.get(route) ?? initialRouteLoad, now)) return false;
-  return [...admissions].some(
-    (other) =>
-      compareRanks(rank, other.rank) < 0 &&
-      other.fraction > PROTECTION_MIN_FRACTION &&
-      now - other.adjustedAt < RECENT_ADMISSION_MS &&
-      hasDownstreamOverload(loads.get(other.route) ?? initialRouteLoad, now),
-  );
+): OverloadDuty {
+  const isAffected = (route: RouteName): boolean =>
+    hasDownstreamOverload(loads.get(route) ?? initialRouteLoad, now);
+  if (!isAffected(own.route)) return { thresholdRank: own.rank, isSpared: false };
+  let lowest = own.rank;
+  let isLowerOpen = false;
+  let isHigherOpen = false;
+  for (const { route, rank, fraction, adjustedAt } of admissions) {
+    const order = compareRanks(own.rank, rank);
+    if (order !== 0 && now - adjustedAt < RECENT_ADMISSION_MS && isAffected(route)) {
+      const isOpen = fraction > LEAST_SHARE;
+      if (order < 0) isLowerOpen ||= isOpen;
+      else isHigherOpen ||= isOpen;
+      if (compareRanks(lowest, rank) < 0) lowest = rank;
+    }
+  }
+  const isAtLeastShare = own.fraction <= LEAST_SHARE;
+  return {
+    thresholdRank: isLowerOpen ? own.rank : lowest,
+    isSpared: isLowerOpen || (isAtLeastShare && isHigherOpen),
+  };
 }
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -18,9 +18,9 @@
 import {
   describeReply,
   isOverload,
-  isProtected,
   recordReport,
   initialRouteLoad,
+  overloadDuty,
   routePressure,
   type RankedAdmission,
   type RouteLoad,
@@ -178,8 +178,9 @@
     const key = `${route.name} ${rank.accountPriority}`;
     const pressure = routePressure(this.#loads, route.name, now);
     const before = this.#admissions.get(key) ?? openAdmission;
-    const isExempt = isProtected(this.#loads, this.#admissions.values(), route.name, rank, now);
-    const { admission, isAdmitted } = admitRoot(before, pressure, rank, isExempt, now);
+    const own = { route: route.name, rank, fraction: before.fraction };
+    const duty = overloadDuty(this.#loads, this.#admissions.values(), own, now);
+    const { admission, isAdmitted } = admitRoot(before, pressure, duty, now);
     this.#admissions.set(key, { ...admission, rank, route: route.name });
     if (isAdmitted) return null;
     const details = {
--- a/test/core/shedding/graph-node.ts
+++ b/test/core/shedding/graph-node.ts
@@ -52,6 +52,10 @@
   readonly coldRatePerSecond: number;
   /** Processor time of a node for each call that it sends or receives; 0 when it is plenty. */
   readonly processorMs?: number;
+  /** How often a caller that is refused at the entry comes back; never by default. */
+  readonly returns?: number;
+  /** Value of an answer after the objective, as a share of one in time; 0 by default. */
+  readonly lateValue?: number;
 }
 
 /** Factor on the duration of a call while the backend server is cold. */
