Grant one rate on both sides of a cut

Cause: the node that adds up the usage divides the whole rate among the nodes that report, and each side of a cut has such a node. It now grants the rate in proportion to the nodes that it has heard from within 1.5 s; a node without usage shows once a second that it is there. And a peer behind the cut was chosen again whenever its next connection was tried, so that every second report on the other side was lost; it is chosen only after a link to it has opened.

Ruled out: the whole rate for the majority, which with the other side's share exceeds the bound.

--- a/src/core/quota/aggregator.ts
+++ b/src/core/quota/aggregator.ts
@@ -45,10 +45,11 @@
 function refillTokens(
   total: AccountTotal | undefined,
   account: QuotaAccount,
+  rateShare: number,
   now: Instant,
 ): number {
   if (total === undefined) return account.burst;
-  const gained = ((now - total.refilledAt) / 1000) * account.ratePerSecond;
+  const gained = ((now - total.refilledAt) / 1000) * account.ratePerSecond * rateShare;
   return Math.min(account.burst, total.tokens + gained);
 }
 
@@ -65,6 +66,7 @@
  * @param node - the reporting node
  * @param usages - usage of the node since its last report
  * @param accounts - the accounts by name
+ * @param rateShare - fraction of each rate that is granted, from 0 to 1
  * @param now - the current instant
  * @returns the next state, and the totals of the reported accounts
  */
@@ -73,6 +75,7 @@
   node: string,
   usages: readonly Usage[],
   accounts: ReadonlyMap<AccountName, QuotaAccount>,
+  rateShare: number,
   now: Instant,
 ): AggregatorStep {
   const next = new Map(state);
@@ -82,11 +85,12 @@
     const before = next.get(name);
     const own = addDemand(before?.byNode.get(node) ?? NO_DEMAND, demanded, now);
     const all = addDemand(before?.all ?? NO_DEMAND, demanded, now);
-    const tokens = refillTokens(before, account, now) - admitted;
+    const tokens = refillTokens(before, account, rateShare, now) - admitted;
     const byNode = new Map(before?.byNode).set(node, own);
     next.set(name, { tokens, refilledAt: now, all, byNode });
     const demandPerSecond = (all.count * 1000) / DEMAND_TIME_CONSTANT_MS;
-    return [{ account: name, tokens, demandPerSecond, share: own.count / all.count }];
+    const share = own.count / all.count;
+    return [{ account: name, tokens, demandPerSecond, share, rateShare }];
   });
   return { state: next, totals };
 }
@@ -97,21 +101,22 @@
  *
  * @param state - state of the aggregator
  * @param accounts - the accounts by name
+ * @param rateShare - fraction of each rate that is granted, from 0 to 1
  * @param now - the current instant
  * @returns the totals of these accounts, without a share
  */
 export function listOverRateTotals(
   state: AggregatorState,
   accounts: ReadonlyMap<AccountName, QuotaAccount>,
+  rateShare: number,
   now: Instant,
 ): readonly Total[] {
   return [...state].flatMap(([name, total]): readonly Total[] => {
     const account = accounts.get(name);
     if (account === undefined || account.ratePerSecond === 0) return [];
     const demandPerSecond = (decayCount(total.all, now) * 1000) / DEMAND_TIME_CONSTANT_MS;
-    if (demandPerSecond <= account.ratePerSecond) return [];
-    return [
-      { account: name, tokens: refillTokens(total, account, now), demandPerSecond, share: null },
-    ];
+    if (demandPerSecond <= account.ratePerSecond * rateShare) return [];
+    const tokens = refillTokens(total, account, rateShare, now);
+    return [{ account: name, tokens, demandPerSecond, share: null, rateShare }];
   });
 }
--- a/src/core/quota/quota.ts
+++ b/src/core/quota/quota.ts
@@ -26,7 +26,13 @@
 /** How the quota of an account is divided among the nodes. */
 export type Division =
   /** Demand is below the rate, so any node may use the remaining tokens. */
-  | { readonly kind: 'calm'; readonly allottedTokens: number; readonly at: Instant }
+  | {
+      readonly kind: 'calm';
+      readonly allottedTokens: number;
+      /** Fraction of the account's rate that all nodes on this side of a cut may use. */
+      readonly rateShare: number;
+      readonly at: Instant;
+    }
   /** Demand exceeds the rate, so each node refills its own bucket with its share of the rate. */
   | { readonly kind: 'shared'; readonly at: Instant }
   /** No total of the account has been received recently. */
@@ -128,7 +134,8 @@
   switch (division.kind) {
     case 'calm': {
       if (isReportOverdue) return bucket;
-      const gained = ((now - division.at) / 1000) * account.ratePerSecond * SINGLE_NODE_SHARE;
+      const nodeShare = division.rateShare * SINGLE_NODE_SHARE;
+      const gained = ((now - division.at) / 1000) * account.ratePerSecond * nodeShare;
       return Math.max(bucket, division.allottedTokens + gained);
     }
     case 'shared':
@@ -227,15 +234,16 @@
   account: QuotaAccount,
   now: Instant,
 ): AccountQuota {
-  const { demandPerSecond } = total;
+  const { demandPerSecond, rateShare = 1 } = total;
   const tokens = capTokens(quota, total, account, now);
-  const share = total.share ?? quota.share;
+  const share = total.share === null ? quota.share : total.share * rateShare;
   const newTotal = { tokens, at: now };
   // Requests admitted since the last report are not in the total yet.
   const tokensLeft = tokens - quota.admitted;
   // The estimate of a small demand is rough, so an account with half of its burst left counts as
   // calm.
-  const isCalm = demandPerSecond <= account.ratePerSecond || tokens > account.burst / 2;
+  const isWithinRate = demandPerSecond <= account.ratePerSecond * rateShare;
+  const isCalm = isWithinRate || tokens > account.burst / 2;
   if (isCalm && tokensLeft >= 1) {
     const allotted = Math.max(
       Math.min(tokensLeft, DEFAULT_TOKENS),
@@ -245,7 +253,7 @@
       ...quota,
       share,
       lastTotal: newTotal,
-      division: { kind: 'calm', allottedTokens: allotted, at: now },
+      division: { kind: 'calm', allottedTokens: allotted, rateShare, at: now },
     };
   }
   // Fewer tokens than half of the burst mean that all nodes together have admitted too much.
--- a/src/core/quota/usage.ts
+++ b/src/core/quota/usage.ts
@@ -16,6 +16,11 @@
   readonly demandPerSecond: number;
   /** Fraction of the demand that the receiving node reported; null in a total sent to all nodes. */
   readonly share: number | null;
+  /**
+   * Fraction of the account's rate that is granted, as some nodes may get theirs on the other side of
+   * a cut; left out by nodes of an earlier version, which grant the whole rate.
+   */
+  readonly rateShare?: number | undefined;
 }
 
 /**
--- a/src/sidecar/fleet-tasks.ts
+++ b/src/sidecar/fleet-tasks.ts
@@ -49,7 +49,8 @@
       node: peers.own,
       clock,
       nodes: () => peers.nodeCount,
-      aggregator: () => peers.findAggregator('quota'),
+      aggregator: () => peers.findProvenAggregator('quota'),
+      preferredAggregator: () => peers.findAggregator('quota'),
       sendUsage: (address, usages) => mesh.sendFrame(address, { kind: 'usage', usages }),
       broadcastTotals: (totals) => mesh.broadcast({ kind: 'totals', totals }),
     });
--- a/src/sidecar/frame-router.ts
+++ b/src/sidecar/frame-router.ts
@@ -120,9 +120,10 @@
   ): void {
     const { quota, loads } = this.#options;
     const node = this.#incomingAddresses.get(link) ?? 'unknown';
-    const totals = usages.length > 0 ? quota.addNodeReport(node, usages) : [];
-    if (reports === undefined) link.send({ kind: 'totals', totals });
-    else link.send({ kind: 'totals', totals, loads: loads.addReports(reports) });
+    // A report of loads alone goes to another node than those of usage.
+    if (reports === undefined) {
+      link.send({ kind: 'totals', totals: quota.addNodeReport(node, usages) });
+    } else link.send({ kind: 'totals', totals: [], loads: loads.addReports(reports) });
   }
 
   /** A peer that has just started would run a request that crashes its backend servers again. */
--- a/src/sidecar/mesh-task.ts
+++ b/src/sidecar/mesh-task.ts
@@ -125,6 +125,16 @@
     return !this.#canConnect(address);
   }
 
+  /**
+   * Checks whether the last connection to a peer failed and none was opened since.
+   *
+   * @param address - the peer's address
+   * @returns whether the peer has not been reached since the failure
+   */
+  hasFailed(address: string): boolean {
+    return this.#failedAt.has(address);
+  }
+
   /**
    * Finds the peer at the other end of a link.
    *
--- a/src/sidecar/peer-table.ts
+++ b/src/sidecar/peer-table.ts
@@ -12,6 +12,8 @@
   readonly clock: Clock;
   /** @returns whether a connection to a peer failed recently */
   readonly isUnreachable: (address: string) => boolean;
+  /** @returns whether the last connection to a peer failed and none was opened since */
+  readonly hasFailed: (address: string) => boolean;
 }
 
 /** Number of peers that receive the status of the published values from this node. */
@@ -140,6 +142,22 @@
     return first === undefined || first === own ? null : first;
   }
 
+  /**
+   * Finds the aggregator as `findAggregator` does, without peers that have not been reached since a
+   * failure. Behind a cut, a peer that is tried again now and then would get every second report.
+   *
+   * @param topic - the subject of the reports
+   * @returns the address of the aggregator, or null when it is this node
+   */
+  findProvenAggregator(topic: string): string | null {
+    const { own } = this;
+    const first = this.#rankNodes(topic).find(
+      (address) =>
+        address === own || (this.isReachable(address) && !this.#options.hasFailed(address)),
+    );
+    return first === undefined || first === own ? null : first;
+  }
+
   #rankNodes(topic: string): readonly string[] {
     const known = this.#ranked.get(topic);
     if (known !== undefined) return known;
--- a/src/sidecar/quota-task.ts
+++ b/src/sidecar/quota-task.ts
@@ -8,6 +8,7 @@
   listOverRateTotals,
   type AggregatorState,
 } from '../core/quota/aggregator.js';
+import { heardShare, isHeard, PRESENCE_INTERVAL_MS } from '../core/quota/heard-nodes.js';
 import {
   admit,
   applyTotals,
@@ -33,6 +34,8 @@
   readonly nodes: () => number;
   /** @returns the address of the node that aggregates usage, or null when it is this node */
   readonly aggregator: () => string | null;
+  /** @returns the same, also when its last connection failed and it may be worth another try */
+  readonly preferredAggregator: () => string | null;
   readonly sendUsage: (address: string, usages: readonly Usage[]) => void;
   /** Sends the totals of the accounts that exceed their rate to all nodes. */
   readonly broadcastTotals: (totals: readonly Total[]) => void;
@@ -42,7 +45,7 @@
  * Interval of usage reports. Until the next report, an account may exceed its rate by its demand in
  * this time, which has to stay well below a quarter of five seconds.
  */
-const REPORT_INTERVAL_MS: Milliseconds = 250;
+export const REPORT_INTERVAL_MS: Milliseconds = 250;
 
 /** The aggregator counts as available for this time after its last totals. */
 const AGGREGATOR_TIMEOUT_MS: Milliseconds = 5000;
@@ -52,7 +55,9 @@
   /** Accounts of the current policy. */
   | { readonly kind: 'accounts'; readonly accounts: readonly QuotaAccount[] }
   /** Totals over all nodes, from the aggregator. */
-  | { readonly kind: 'totals'; readonly totals: readonly Total[] };
+  | { readonly kind: 'totals'; readonly totals: readonly Total[] }
+  /** It is time for the next report of usage. */
+  | { readonly kind: 'report-due' };
 
 /** Task that owns the quotas of this node, and the totals while this node is the aggregator. */
 export class QuotaTask {
@@ -68,6 +73,13 @@
 
   #ledger: ReportLedger = emptyLedger;
 
+  /** When this node last heard from each node; of use while it is the aggregator. */
+  readonly #heardAt = new Map<string, Instant>();
+
+  #reportedAt: Instant = Number.NEGATIVE_INFINITY;
+
+  #triedAt: Instant = Number.NEGATIVE_INFINITY;
+
   #accounts: ReadonlyMap<AccountName, QuotaAccount> = new Map();
 
   /**
@@ -75,7 +87,7 @@
    */
   constructor(options: QuotaTaskOptions) {
     this.#options = options;
-    this.#reportTimer = setInterval(() => this.#sendReport(), REPORT_INTERVAL_MS);
+    this.#reportTimer = setInterval(() => this.send({ kind: 'report-due' }), REPORT_INTERVAL_MS);
   }
 
   /**
@@ -91,6 +103,9 @@
       case 'totals':
         this.#applyTotals(message.totals);
         break;
+      case 'report-due':
+        this.#sendReport();
+        break;
     }
   }
 
@@ -122,12 +137,21 @@
    * Adds the usage report of a node to the totals.
    *
    * @param node - the node
-   * @param usages - usage per account since its last report
+   * @param usages - usage per account since its last report; empty when the node only shows that it
+   *   is there
    * @returns the totals to send back to that node
    */
   addNodeReport(node: string, usages: readonly Usage[]): readonly Total[] {
     const now = this.#options.clock.now();
-    const { state, totals } = addReport(this.#aggregate, node, usages, this.#accounts, now);
+    this.#heardAt.set(node, now);
+    const { state, totals } = addReport(
+      this.#aggregate,
+      node,
+      usages,
+      this.#accounts,
+      this.#rateShare(now),
+      now,
+    );
     this.#aggregate = state;
     return totals;
   }
@@ -154,17 +178,42 @@
   }
 
   #sendReport(): void {
-    const { node, clock, aggregator, sendUsage, broadcastTotals } = this.#options;
+    const { node, clock, aggregator, sendUsage } = this.#options;
     const now = clock.now();
-    const overdrawnTotals = listOverRateTotals(this.#aggregate, this.#accounts, now);
-    if (overdrawnTotals.length > 0) broadcastTotals(overdrawnTotals);
+    this.#broadcastTotals(now);
     const { state, usages: newUsages } = takeReport(this.#quotas);
     this.#quotas = state;
     const address = aggregator();
     const { ledger, usages } = recordReport(this.#ledger, address, newUsages, now);
     this.#ledger = ledger;
-    if (usages.length === 0) return;
+    this.#heardAt.forEach((at, from) => {
+      if (!isHeard(at, now)) this.#heardAt.delete(from);
+    });
+    this.#tryPreferred(address, now);
+    if (usages.length === 0 && now - this.#reportedAt < PRESENCE_INTERVAL_MS) return;
+    this.#reportedAt = now;
     if (address === null) this.#applyTotals(this.addNodeReport(node, usages));
     else sendUsage(address, usages);
   }
+
+  /** Opens a link to the node that all would choose, so that they agree again after a cut. */
+  #tryPreferred(address: string | null, now: Instant): void {
+    if (now - this.#triedAt < PRESENCE_INTERVAL_MS) return;
+    this.#triedAt = now;
+    const preferred = this.#options.preferredAggregator();
+    if (preferred !== null && preferred !== address) this.#options.sendUsage(preferred, []);
+  }
+
+  #broadcastTotals(now: Instant): void {
+    const rateShare = this.#rateShare(now);
+    // Without reports this node no longer is the aggregator, and its totals are out of date.
+    if (rateShare === 0) return;
+    const totals = listOverRateTotals(this.#aggregate, this.#accounts, rateShare, now);
+    if (totals.length > 0) this.#options.broadcastTotals(totals);
+  }
+
+  /** Fraction of each rate that this node grants as the aggregator. */
+  #rateShare(now: Instant): number {
+    return heardShare(this.#heardAt, this.#options.nodes(), now);
+  }
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -105,6 +105,7 @@
       zone: settings.zone,
       clock,
       isUnreachable: (address) => this.#mesh.isUnreachable(address),
+      hasFailed: (address) => this.#mesh.hasFailed(address),
     });
     this.#readBarrier = new ReadBarrier(clock);
     this.#mesh = new MeshTask({
--- a/test/core/quota/quota.test.ts
+++ b/test/core/quota/quota.test.ts
@@ -66,7 +66,9 @@
       if (step.isAdmitted) admittedAt.push(now);
     }
     const overRateTotals =
-      !isPartitioned && now % REPORT_MS === 0 ? listOverRateTotals(aggregate, accounts, now) : [];
+      !isPartitioned && now % REPORT_MS === 0
+        ? listOverRateTotals(aggregate, accounts, 1, now)
+        : [];
     for (const [at, before] of nodes.entries()) {
       const state =
         overRateTotals.length === 0
@@ -75,7 +77,7 @@
       nodes[at] = state;
       if (isPartitioned || now % REPORT_MS !== (at * 13) % REPORT_MS) continue;
       const report = takeReport(state);
-      const added = addReport(aggregate, String(at), report.usages, accounts, now);
+      const added = addReport(aggregate, String(at), report.usages, accounts, 1, now);
       aggregate = added.state;
       nodes[at] = applyTotals(report.state, added.totals, accounts, view, now);
     }
@@ -172,7 +174,7 @@
       node.ledger = ledger;
       if (isSilent || usages.length === 0) continue;
       const known = aggregates.get(address) ?? emptyAggregator;
-      const added = addReport(known, String(at), usages, accounts, now);
+      const added = addReport(known, String(at), usages, accounts, 1, now);
       aggregates.set(address, added.state);
       node.ledger = recordAnswer(ledger);
       node.quotas = applyTotals(node.quotas, added.totals, accounts, viewOf(node.ledger), now);
