--- a/src/sidecar/body-buffer.ts
+++ b/src/sidecar/body-buffer.ts
@@ -1,3 +1,9 @@
+/**
+ * Memory for a whole body is reserved once this share of it has arrived. A caller that declares a
+ * large body and sends little of it would otherwise take memory that nobody counts.
+ */
+const RESERVE_SHARE = 1 / 8;
+
 /**
  * Collects the chunks of a body. A body of known length is copied to its place as it arrives: joining
  * the chunks at the end would hold each large body twice.
@@ -5,7 +11,7 @@
 export class BodyBuffer {
   readonly #declaredBytes: number | null;
 
-  /** Memory of the declared length; null before the first chunk and without a declared length. */
+  /** Memory of the declared length; null while little has arrived and without a declared length. */
   #whole: Buffer | null = null;
 
   readonly #chunks: Buffer[] = [];
@@ -31,15 +37,10 @@
    */
   add(chunk: Buffer): void {
     if (chunk.length === 0) return;
-    const declaredBytes = this.#declaredBytes;
-    if (declaredBytes === null || chunk.length === declaredBytes) {
-      this.#chunks.push(chunk);
-    } else {
-      // Memory of its own, which is returned to the system when the body is dropped.
-      this.#whole ??= Buffer.allocUnsafeSlow(declaredBytes);
-      chunk.copy(this.#whole, this.#length);
-    }
+    if (this.#whole === null) this.#chunks.push(chunk);
+    else chunk.copy(this.#whole, this.#length);
     this.#length += chunk.length;
+    this.#reserve();
   }
 
   /**
@@ -55,6 +56,18 @@
     return body;
   }
 
+  /** Moves the chunks to the memory of the whole body once enough of it has arrived. */
+  #reserve(): void {
+    const declaredBytes = this.#declaredBytes;
+    if (this.#whole !== null || declaredBytes === null || this.#length === declaredBytes) return;
+    if (this.#length < declaredBytes * RESERVE_SHARE) return;
+    // Memory of its own, which is returned to the system when the body is dropped.
+    const whole = Buffer.allocUnsafeSlow(declaredBytes);
+    this.#chunks.reduce((offset, chunk) => offset + chunk.copy(whole, offset), 0);
+    this.#chunks.length = 0;
+    this.#whole = whole;
+  }
+
   /** Drops what was received. */
   clear(): void {
     this.#whole = null;
--- a/test/sidecar/body-buffer.test.ts
+++ b/test/sidecar/body-buffer.test.ts
@@ -37,3 +37,15 @@
   assert.equal(body.length, LARGE_BODY_BYTES);
   assert.ok(taken < LARGE_BODY_BYTES / 2, `${taken} more bytes`);
 });
+
+test('a caller that declares a large body reserves no memory before it sends', () => {
+  // Guards against callers that take the memory of a node by their headers alone.
+  const before = process.memoryUsage().arrayBuffers;
+  const buffers = Array.from({ length: 20 }, () => {
+    const buffer = new BodyBuffer(LARGE_BODY_BYTES);
+    buffer.add(Buffer.alloc(CHUNK_BYTES, 1));
+    return buffer;
+  });
+  const taken = process.memoryUsage().arrayBuffers - before;
+  assert.ok(taken < LARGE_BODY_BYTES, `${taken} bytes for ${buffers.length} bodies`);
+});
