Handle signals from the first statement of a node until its end

Cause: the handlers were installed after all modules were loaded and the settings were read, and `once` removed that of SIGTERM at the first signal, which restores the default action. The entry module now loads nothing before it has installed the handlers, and they stay; a SIGHUP that comes early reloads the settings later.

--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import { readFile } from 'node:fs/promises';
 import { command, flag, option, optional, string } from 'cmd-ts';
 import { ResultAsync } from 'neverthrow';
@@ -8,6 +7,7 @@
 import { readTls, type TlsMaterial } from '../runtime/tls-material.js';
 import type { Node } from '../runtime/node.js';
 import { exitCodes, type ExitCode } from './exit-code.js';
+import type { ProcessSignals } from './process-signals.js';
 import { printFaults, type Terminal } from './terminal.js';
 
 interface NodeSetup {
@@ -32,18 +32,22 @@
     );
 }
 
-async function serveUntilSignal(node: Node): Promise<ExitCode> {
-  await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+async function serveUntilSignal(node: Node, signals: ProcessSignals): Promise<ExitCode> {
+  await signals.stopRequested;
   const isDrained = await node.stop();
   return isDrained ? exitCodes.success : exitCodes.promiseBroken;
 }
 
-async function runNode({ settings, tls }: NodeSetup, terminal: Terminal): Promise<ExitCode> {
+async function runNode(
+  { settings, tls }: NodeSetup,
+  terminal: Terminal,
+  signals: ProcessSignals,
+): Promise<ExitCode> {
   // Imported on demand, so that a node on the platform does not load modules it does not use.
   const runtime = await import('../runtime/node.js');
   const node = new runtime.Node(settings, tls);
   const started = await node.start();
-  if (started.isOk()) return serveUntilSignal(node);
+  if (started.isOk()) return serveUntilSignal(node, signals);
   printFaults(terminal, [started.error]);
   await node.stop();
   return exitCodes.cannotStart;
@@ -53,9 +57,10 @@
  * Builds the command `node --settings FILE` or `node --platform`.
  *
  * @param terminal - output for faults; the log goes to standard output
+ * @param signals - signals of the process
  * @returns the command
  */
-export function nodeCommand(terminal: Terminal) {
+export function nodeCommand(terminal: Terminal, signals: ProcessSignals) {
   return command({
     name: 'node',
     description: 'Run the node beside a backend server until SIGTERM or SIGINT.',
@@ -73,14 +78,17 @@
     handler: async ({ settings, platform }): Promise<ExitCode> => {
       if (platform) {
         const { serveOnPlatform } = await import('./serve-on-platform.js');
-        return serveOnPlatform(terminal);
+        return serveOnPlatform(terminal, signals);
       }
       if (settings === undefined) {
         terminal.printError('No value provided for --settings');
         return exitCodes.wrongUsage;
       }
+      signals.receive('stop');
       const setup = await readSettings(settings);
-      return setup.isOk() ? runNode(setup.value, terminal) : printFaults(terminal, setup.error);
+      return setup.isOk()
+        ? runNode(setup.value, terminal, signals)
+        : printFaults(terminal, setup.error);
     },
   });
 }
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -7,16 +7,17 @@
 import { explainCommand } from './explain-command.js';
 import { hashKeyCommand } from './hash-key-command.js';
 import { nodeCommand } from './node-command.js';
+import { ProcessSignals } from './process-signals.js';
 import type { Terminal } from './terminal.js';
 import { VERSION } from './version.js';
 
-function buildApplication(terminal: Terminal) {
+function buildApplication(terminal: Terminal, signals: ProcessSignals) {
   return subcommands({
     name: 'almondhoist',
     version: VERSION,
     description: 'Overload control layer for service call graphs.',
     cmds: {
-      node: nodeCommand(terminal),
+      node: nodeCommand(terminal, signals),
       check: checkCommand(terminal),
       bundle: bundleCommand(terminal),
       diff: diffCommand(terminal),
@@ -31,11 +32,16 @@
  *
  * @param args - arguments after the name of the binary
  * @param terminal - input and output of the command
+ * @param signals - signals of the process, which the command `node` handles
  * @returns the exit code
  */
-export async function run(args: readonly string[], terminal: Terminal): Promise<ExitCode> {
+export async function run(
+  args: readonly string[],
+  terminal: Terminal,
+  signals = new ProcessSignals(),
+): Promise<ExitCode> {
   try {
-    const result = await runSafely(buildApplication(terminal), [...args]);
+    const result = await runSafely(buildApplication(terminal, signals), [...args]);
     if ('value' in result) {
       return await result.value.value;
     }
--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -1,6 +1,5 @@
 import { watchFile } from 'node:fs';
 import { readFile } from 'node:fs/promises';
-import { once } from 'node:events';
 import { ResultAsync } from 'neverthrow';
 import { createPlatformConnection } from '../../platform/connect.js';
 import { findSettingsFile } from '../../platform/settings-location.js';
@@ -11,6 +10,7 @@
 import { openLog } from '../runtime/roarr-log.js';
 import { Sidecar } from '../sidecar/sidecar.js';
 import { exitCodes, type ExitCode } from './exit-code.js';
+import type { ProcessSignals } from './process-signals.js';
 import { printFaults, type Terminal } from './terminal.js';
 
 /** The platform may change the file without a signal, so the file is polled. */
@@ -39,14 +39,14 @@
 }
 
 /** Reloads the settings on SIGHUP and when the file has changed without a signal. */
-function watchSettings(file: string, sidecar: Sidecar): void {
+function watchSettings(file: string, sidecar: Sidecar, signals: ProcessSignals): void {
   const reload = (): void => {
     void readSettings(file).match(
       (settings) => sidecar.reload(settings),
       (faults) => sidecar.reportReloadFailure(faults),
     );
   };
-  process.on('SIGHUP', reload);
+  signals.onReload(reload);
   watchFile(file, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, reload);
 }
 
@@ -54,22 +54,27 @@
  * Runs a node with the settings file that the platform wrote, until SIGTERM or SIGINT.
  *
  * @param terminal - output for faults; the log goes to standard output
+ * @param signals - signals of the process
  * @returns the exit code
  */
-export async function serveOnPlatform(terminal: Terminal): Promise<ExitCode> {
+export async function serveOnPlatform(
+  terminal: Terminal,
+  signals: ProcessSignals,
+): Promise<ExitCode> {
+  signals.receive('stop-and-reload');
   const file = findSettingsFile(process.env);
   const settings = await readSettings(file);
   if (settings.isErr()) return printFaults(terminal, settings.error);
+  if (signals.isStopRequested) return exitCodes.success;
   const sidecar = openSidecar(settings.value);
-  // Registered before the start, since SIGHUP without a handler ends the process.
-  watchSettings(file, sidecar);
+  watchSettings(file, sidecar, signals);
   const started = await sidecar.start();
   if (started.isErr()) {
     printFaults(terminal, [started.error]);
     await sidecar.stop();
     return exitCodes.cannotStart;
   }
-  await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+  await signals.stopRequested;
   const isDrained = await sidecar.stop();
   return isDrained ? exitCodes.success : exitCodes.promiseBroken;
 }
--- a/standin/host-process.ts
+++ b/standin/host-process.ts
@@ -18,6 +18,14 @@
   readonly instance: string;
 }
 
+/** End of a node process that was not asked to end. */
+export interface UnexpectedExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+  /** Time from the start of the process to its end, in milliseconds. */
+  readonly ageMs: number;
+}
+
 const START_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 50;
 
@@ -44,6 +52,12 @@
 
   #node: ChildProcess | null = null;
 
+  /** Processes that were asked to end. */
+  readonly #endedNodes = new WeakSet<ChildProcess>();
+
+  /** Called when the node process ends without SIGTERM or SIGKILL from `signalNode`. */
+  onUnexpectedExit: (exit: UnexpectedExit) => void = () => {};
+
   private constructor(options: HostOptions, backend: PlatformBackend, backendPort: number) {
     this.options = options;
     this.backend = backend;
@@ -69,13 +83,15 @@
   startNode(): void {
     const { directory, ip, program } = this.options;
     const [command, ...args] = program;
-    this.#node = spawn(command, [...args, 'node', '--platform'], {
+    const startedAt = performance.now();
+    const node = spawn(command, [...args, 'node', '--platform'], {
       env: { ALMONDHOIST_CONFIG: join(directory, `${ip}.toml`) },
       stdio: 'ignore',
     });
-    // SIGHUP ends a process that has not installed its handler yet. The platform restarts it.
-    this.#node.once('exit', (_code, signal) => {
-      if (signal === 'SIGHUP') this.startNode();
+    this.#node = node;
+    node.once('exit', (code, signal) => {
+      if (this.#endedNodes.has(node)) return;
+      this.onUnexpectedExit({ code, signal, ageMs: performance.now() - startedAt });
     });
   }
 
@@ -93,7 +109,9 @@
    * @param name - name of the signal
    */
   signalNode(name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM' | 'SIGHUP'): void {
-    this.#node?.kill(name);
+    if (this.#node === null) return;
+    if (name === 'SIGKILL' || name === 'SIGTERM') this.#endedNodes.add(this.#node);
+    this.#node.kill(name);
   }
 
   /** Waits until the node process has exited; returns at once if none runs. */
--- a/test/sidecar/exit.test.ts
+++ b/test/sidecar/exit.test.ts
@@ -1,63 +1,17 @@
 import assert from 'node:assert/strict';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Agent, request } from 'undici';
-import { HostProcess, listenOn } from '../../standin/host-process.js';
-import { PlatformStore } from '../../standin/platform-store.js';
-import { HOST, KEY, POLICY, waitFor } from './fleet.js';
-
-/** Time from the stop signal to the kill, as in the settings of the stand-in platform. */
-const GRACE_MS = 6000;
-const CALLER_PORT = 7401;
+import { waitFor } from './fleet.js';
+import { GRACE_MS, openPlatformHost } from './platform-host.js';
 
 test('a node exits within the grace period with a request in flight', async (t) => {
   // Guards against timers of requests in flight that keep the process alive until it is killed.
-  const subnet = `127.${20 + (process.pid % 200)}.252`;
-  const directory = await mkdtemp(join(tmpdir(), 'almondhoist-'));
-  const store = new PlatformStore();
-  const agent = new Agent();
-  const storePort = await listenOn(store.server, `${subnet}.250`);
-  const routes = POLICY.routes.map((route) => ({ ...route, timeout: '9s' }));
-  store.put('op/config', { ...POLICY, routes });
-  const host = await HostProcess.open({
-    program: [process.execPath, 'dist/js/src/main.js'],
-    directory,
-    ip: `${subnet}.1`,
-    zone: 'a',
-    service: 'stock',
-    instance: 'i-1',
-    store: `${subnet}.250:${storePort}`,
-    callerPort: CALLER_PORT,
-    peerPort: 7402,
-    readyPort: 7403,
-  });
-  t.after(async () => {
-    host.close();
-    store.server.close();
-    store.server.closeAllConnections();
-    await agent.destroy();
-    await rm(directory, { recursive: true });
-  });
-  store.put('servers/i-1', host.storeEntry(Date.now()));
+  const { host, agent, send } = await openPlatformHost(t, { subnet: 252 });
   host.backend.selectFault = () => 'silent';
   host.startNode();
   await host.waitUntilReady(agent);
   await sleep(500);
-  const pendingRequest = request(`http://${subnet}.1:${CALLER_PORT}/look/1`, {
-    dispatcher: agent,
-    headers: {
-      host: HOST,
-      'attempt-id': 'e1',
-      'timeout-ms': '9000',
-      authorization: `Bearer ${KEY}`,
-    },
-  }).then(
-    ({ statusCode }) => statusCode,
-    () => 0,
-  );
+  const pendingRequest = send('e1');
   await waitFor('the run', () => host.backend.runs.length === 1);
   const startedAt = performance.now();
   host.signalNode('SIGTERM');
@@ -66,3 +20,19 @@
   assert.ok(tookMs < GRACE_MS, `${Math.round(tookMs)} ms`);
   await pendingRequest;
 });
+
+test('a second stop signal does not cut a request in flight', async (t) => {
+  // Guards against a stop signal whose default action ends the process during a planned stop.
+  const { host, agent, send } = await openPlatformHost(t, { subnet: 253 });
+  host.backend.workMs = 1500;
+  host.startNode();
+  await host.waitUntilReady(agent);
+  await sleep(500);
+  const status = send('e1');
+  await waitFor('the run', () => host.backend.runs.length === 1);
+  host.signalNode('SIGTERM');
+  await sleep(200);
+  host.signalNode('SIGTERM');
+  assert.equal(await status, 200);
+  await host.waitForExit();
+});
