Wait for an address that the former process of a node still holds

Cause: a start gave up at the first failure to bind. The addresses are now tried until the stop deadline of the settings has passed, by which a former process has ended; [1101] is logged at the first failure. The readiness probe is bound last, so that it does not answer before callers are served.

start.test.ts fails on the code before: the process ends.

--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -1,6 +1,6 @@
 import { watchFile } from 'node:fs';
 import { readFile } from 'node:fs/promises';
-import { ResultAsync } from 'neverthrow';
+import { ok, ResultAsync } from 'neverthrow';
 import { createPlatformConnection } from '../../platform/connect.js';
 import { findSettingsFile } from '../../platform/settings-location.js';
 import { parsePlatformSettings } from '../../platform/settings.js';
@@ -68,7 +68,7 @@
   if (signals.isStopRequested) return exitCodes.success;
   const sidecar = openSidecar(settings.value);
   watchSettings(file, sidecar, signals);
-  const started = await sidecar.start();
+  const started = await Promise.race([sidecar.start(), signals.stopRequested.then(() => ok())]);
   if (started.isErr()) {
     printFaults(terminal, [started.error]);
     await sidecar.stop();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -6,7 +6,7 @@
 import { findTimeLimit } from '../core/exchange/admission-pipeline.js';
 import type { Milliseconds } from '../core/model/time.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
-import { listen } from '../runtime/listen.js';
+import { listen, type BindPolicy } from '../runtime/listen.js';
 import { RateLimitedLog } from './rate-limited-log.js';
 import { ControlPath, type ControlEvent } from './control-path.js';
 import { DispatchTask } from './dispatch-task.js';
@@ -90,6 +90,9 @@
 
   #plannedStop: PlannedStop | null = null;
 
+  /** Ends a start that is still waiting for an address. */
+  readonly #startAbort = new AbortController();
+
   /**
    * @param settings - validated settings of the process
    * @param dependencies - clocks, random numbers, log, store client and the platform's formats
@@ -178,18 +181,29 @@
   }
 
   /**
-   * Starts reading the store and listening on all addresses.
+   * Starts reading the store and listening on all addresses. The former process on this host may
+   * hold the addresses until its stop deadline, so they are tried for as long.
    *
    * @returns nothing, or a fault when an address cannot be bound
    */
   start(): ResultAsync<void, Fault> {
-    const { callerAddress, peerAddress, readyAddress } = this.#settings;
+    const { callerAddress, peerAddress, readyAddress, stopDeadlineMs } = this.#settings;
+    const policy: BindPolicy = {
+      kind: 'retry',
+      forMs: stopDeadlineMs,
+      signal: this.#startAbort.signal,
+      onFault: ({ code, details }) => this.#reportEvent(code, details),
+    };
     this.#controlPath.start();
+    // The readiness probe comes last: callers are sent to the node as soon as it answers.
     return ResultAsync.combine([
-      listen(this.#requestListener.server, callerAddress),
-      listen(this.#mesh.server, peerAddress),
-      listen(this.#readyServer, readyAddress),
-    ]).map((ports) => this.#reportStart(ports));
+      listen(this.#requestListener.server, callerAddress, policy),
+      listen(this.#mesh.server, peerAddress, policy),
+    ])
+      .andThen(([caller, peer]) =>
+        listen(this.#readyServer, readyAddress, policy).map((ready) => [caller, peer, ready]),
+      )
+      .map((ports) => this.#reportStart(ports));
   }
 
   #reportStart([caller = 0, peer = 0, metrics = 0]: readonly number[]): void {
@@ -225,6 +239,7 @@
    * @returns whether all requests and calls finished before the deadline
    */
   async stop(): Promise<boolean> {
+    this.#startAbort.abort();
     const { clock } = this.#dependencies;
     const stop = { startedAt: clock.now(), deadlineMs: this.#settings.stopDeadlineMs };
     this.#plannedStop = stop;
--- /dev/null
+++ b/test/sidecar/start.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { UnexpectedExit } from '../../standin/host-process.js';
+import { waitFor } from './fleet.js';
+import { openPlatformHost } from './platform-host.js';
+
+const POLL_MS = 20;
+
+async function isListening(port: number, host: string): Promise<boolean> {
+  const socket = connect(port, host);
+  try {
+    await once(socket, 'connect');
+    return true;
+  } catch {
+    // Refused.
+    return false;
+  } finally {
+    socket.destroy();
+  }
+}
+
+test('a node starts while another process still holds its address, and is ready after that', async (t) => {
+  // Guards against a node that ends at its start, or is ready before callers can reach it.
+  const { host, agent, ip, ports } = await openPlatformHost(t, { subnet: 247 });
+  const [callerPort, peerPort, readyPort] = ports;
+  const holder = createServer();
+  holder.listen(callerPort, ip);
+  await once(holder, 'listening');
+  t.after(() => holder.close());
+  const exits: UnexpectedExit[] = [];
+  host.onUnexpectedExit = (exit) => exits.push(exit);
+  host.startNode();
+  let isPeerListening = false;
+  const poll = (async () => {
+    while (!isPeerListening && exits.length === 0) {
+      isPeerListening = await isListening(peerPort, ip);
+      await sleep(POLL_MS);
+    }
+  })();
+  await waitFor('the peer address', () => isPeerListening || exits.length > 0);
+  await poll;
+  assert.equal(await isListening(readyPort, ip), false);
+  holder.close();
+  await host.waitUntilReady(agent);
+  assert.deepEqual(exits, []);
+});
