Keep a node running when its log cannot be written or is not read

Cause: our handler and the one that roarr installs throw each error but EPIPE, and the writer looked at neither errors nor the bytes that wait.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -579,6 +579,12 @@
     message: 'the part {part} of the value {key} cannot be read: {reason}; the other parts hold',
     hint: 'Correct the program that writes the value, or upgrade the nodes if they are older than it.',
   },
+  linesLost: {
+    number: 4221,
+    title: 'Log lines lost',
+    message: '{lines} lines were lost because standard output was not read or could not be written',
+    hint: 'Check the reader of the log and the free space; the counters on the metrics address are complete.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/runtime/roarr-log.ts
+++ b/src/runtime/roarr-log.ts
@@ -7,37 +7,7 @@
   type Details,
 } from '../core/errors/registry.js';
 import type { Log, LogEntry } from '../core/logs/log-entry.js';
-
-/** Longest time that lines are buffered. Batching saves a system call per line. */
-const FLUSH_INTERVAL_MS = 200;
-const FLUSH_BYTES = 65_536;
-
-/** Buffer between the logger and standard output. */
-class LineBuffer {
-  #text = '';
-
-  #timer: NodeJS.Timeout | null = null;
-
-  add(line: string): void {
-    this.#text += `${line}\n`;
-    if (this.#text.length >= FLUSH_BYTES) {
-      this.flush();
-      return;
-    }
-    this.#timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
-  }
-
-  flush(): void {
-    if (this.#timer !== null) clearTimeout(this.#timer);
-    this.#timer = null;
-    if (this.#text === '') return;
-    const text = this.#text;
-    this.#text = '';
-    process.stdout.write(text);
-  }
-}
-
-const buffer = new LineBuffer();
+import { LineBuffer } from './line-buffer.js';
 
 function describe(code: CodeName, details: Details = {}): string {
   return `[${getResultCode(code).number}] ${formatCodeMessage(code, details)}`;
@@ -72,6 +42,32 @@
   return { ...entry, codeNumber } as unknown as MessageContext;
 }
 
+type NodeLogger = typeof Roarr;
+
+function writeEntry(logger: NodeLogger, entry: LogEntry): void {
+  const context = toContext(entry);
+  switch (entry.kind) {
+    case 'violation':
+      logger.error(context, messageOf(entry));
+      break;
+    case 'event':
+      logger.warn(context, messageOf(entry));
+      break;
+    case 'routing':
+    case 'placement':
+    case 'dispatch':
+    case 'gate-answer':
+    case 'refusal':
+    case 'entry-answer':
+    case 'decision':
+      logger.info(context, messageOf(entry));
+      break;
+  }
+}
+
+/** Buffer of the process, as several nodes can share one. */
+let buffer: LineBuffer | null = null;
+
 /**
  * Enables logging and opens the log of one node.
  *
@@ -79,29 +75,16 @@
  * @returns the log, which writes JSON lines to standard output
  */
 export function openLog(node: string): Log & { readonly flush: () => void } {
-  ROARR.write = (line) => buffer.add(line);
   const logger = Roarr.child({ application: 'almondhoist', node });
+  buffer ??= new LineBuffer(process.stdout, (lines) =>
+    writeEntry(logger, { kind: 'event', code: 'linesLost', details: { lines } }),
+  );
+  const lines = buffer;
+  // The writer that roarr installs ends the process when standard output cannot be written.
+  ROARR.teardown?.();
+  ROARR.write = (line) => lines.add(line);
   return {
-    write: (entry) => {
-      const context = toContext(entry);
-      switch (entry.kind) {
-        case 'violation':
-          logger.error(context, messageOf(entry));
-          break;
-        case 'event':
-          logger.warn(context, messageOf(entry));
-          break;
-        case 'routing':
-        case 'placement':
-        case 'dispatch':
-        case 'gate-answer':
-        case 'refusal':
-        case 'entry-answer':
-        case 'decision':
-          logger.info(context, messageOf(entry));
-          break;
-      }
-    },
-    flush: () => buffer.flush(),
+    write: (entry) => writeEntry(logger, entry),
+    flush: () => lines.flush(),
   };
 }
--- a/standin/host-process.ts
+++ b/standin/host-process.ts
@@ -14,6 +14,8 @@
   readonly program: readonly [string, ...(readonly string[])];
   /** Directory for the generated settings file. */
   readonly directory: string;
+  /** File descriptor for the log of the node; it is discarded by default. */
+  readonly logFile?: number;
   /** Initial instance identifier of the backend server. */
   readonly instance: string;
 }
@@ -81,12 +83,12 @@
 
   /** Starts the node process without waiting until it is ready. */
   startNode(): void {
-    const { directory, ip, program } = this.options;
+    const { directory, ip, program, logFile = 'ignore' } = this.options;
     const [command, ...args] = program;
     const startedAt = performance.now();
     const node = spawn(command, [...args, 'node', '--platform'], {
       env: { ALMONDHOIST_CONFIG: join(directory, `${ip}.toml`) },
-      stdio: 'ignore',
+      stdio: ['ignore', logFile, 'ignore'],
     });
     this.#node = node;
     node.once('exit', (code, signal) => {
--- a/test/sidecar/platform-host.ts
+++ b/test/sidecar/platform-host.ts
@@ -21,6 +21,8 @@
   readonly subnet: number;
   /** Options of Node.js in front of the program. */
   readonly nodeOptions?: readonly string[];
+  /** File descriptor for the log of the node. */
+  readonly logFile?: number;
 }
 
 /** One host of the stand-in platform, whose node is not started yet. */
@@ -44,7 +46,7 @@
  */
 export async function openPlatformHost(
   t: TestContext,
-  { subnet: lastNumber, nodeOptions = [] }: PlatformHostOptions,
+  { subnet: lastNumber, nodeOptions = [], ...log }: PlatformHostOptions,
 ): Promise<PlatformHost> {
   const subnet = `127.${20 + (process.pid % 200)}.${lastNumber}`;
   const ip = `${subnet}.1`;
@@ -55,6 +57,7 @@
   const routes = POLICY.routes.map((route) => ({ ...route, timeout: ROUTE_TIMEOUT }));
   store.put('op/config', { ...POLICY, routes });
   const host = await HostProcess.open({
+    ...log,
     program: [process.execPath, ...nodeOptions, 'dist/js/src/main.js'],
     directory,
     ip,
--- a/test/sidecar/start.test.ts
+++ b/test/sidecar/start.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { open } from 'node:fs/promises';
 import { connect, createServer } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -47,3 +48,18 @@
   await host.waitUntilReady(agent);
   assert.deepEqual(exits, []);
 });
+
+test('a node serves while its log cannot be written', async (t) => {
+  // Guards against a full disk that ends the process with an error of standard output.
+  const full = await open('/dev/full', 'w');
+  t.after(() => full.close());
+  const { host, agent, send } = await openPlatformHost(t, { subnet: 246, logFile: full.fd });
+  const exits: UnexpectedExit[] = [];
+  host.onUnexpectedExit = (exit) => exits.push(exit);
+  host.startNode();
+  await host.waitUntilReady(agent);
+  // The lines of the start are written within this time.
+  await sleep(500);
+  assert.deepEqual(exits, []);
+  assert.equal(await send('e1'), 200);
+});
