Wait for a settings file that is still being written at the start of a node

Cause: the file was read once, although a reload of it tolerates the same. It is now read until it is valid, for 2 s at most. The new test fails on the code before: the node does not become ready.

--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -1,10 +1,12 @@
 import { watchFile } from 'node:fs';
 import { readFile } from 'node:fs/promises';
-import { ok, ResultAsync } from 'neverthrow';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { ok, ResultAsync, type Result } from 'neverthrow';
 import { createPlatformConnection } from '../../platform/connect.js';
 import { findSettingsFile } from '../../platform/settings-location.js';
 import { parsePlatformSettings } from '../../platform/settings.js';
 import type { Fault } from '../core/errors/fault.js';
+import type { Milliseconds } from '../core/model/time.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
 import { monotonicClock } from '../runtime/monotonic-clock.js';
 import { openLog } from '../runtime/roarr-log.js';
@@ -13,6 +15,11 @@
 import type { ProcessSignals } from './process-signals.js';
 import { printFaults, type Terminal } from './terminal.js';
 
+/** Time after the start in which a settings file that cannot be read may still be being written. */
+const SETTINGS_WRITE_MS: Milliseconds = 2000;
+
+const SETTINGS_RETRY_INTERVAL_MS: Milliseconds = 50;
+
 /** The platform may change the file without a signal, so the file is polled. */
 const SETTINGS_CHECK_INTERVAL_MS = 2000;
 
@@ -23,6 +30,22 @@
   }).andThen((text) => parsePlatformSettings(text, file));
 }
 
+/** Reads the settings of the process, whose file may be incomplete when the process starts. */
+async function readFirstSettings(
+  file: string,
+  signals: ProcessSignals,
+): Promise<Result<SidecarSettings, readonly Fault[]>> {
+  const giveUpAt = monotonicClock.now() + SETTINGS_WRITE_MS;
+  for (;;) {
+    // eslint-disable-next-line no-await-in-loop
+    const settings = await readSettings(file);
+    const isFinal = signals.isStopRequested || monotonicClock.now() >= giveUpAt;
+    if (settings.isOk() || isFinal) return settings;
+    // eslint-disable-next-line no-await-in-loop
+    await sleep(SETTINGS_RETRY_INTERVAL_MS);
+  }
+}
+
 function openSidecar(settings: SidecarSettings): Sidecar {
   const log = openLog(settings.node);
   const { dialect, store, decodeValue, paths } = createPlatformConnection(settings.storeAddress);
@@ -63,7 +86,7 @@
 ): Promise<ExitCode> {
   signals.receive('stop-and-reload');
   const file = findSettingsFile(process.env);
-  const settings = await readSettings(file);
+  const settings = await readFirstSettings(file, signals);
   if (settings.isErr()) return printFaults(terminal, settings.error);
   if (signals.isStopRequested) return exitCodes.success;
   const sidecar = openSidecar(settings.value);
--- a/test/sidecar/platform-host.ts
+++ b/test/sidecar/platform-host.ts
@@ -29,7 +29,8 @@
 export interface PlatformHost {
   readonly host: HostProcess;
   readonly agent: Agent;
-  readonly directory: string;
+  /** Settings file of the node. */
+  readonly settingsFile: string;
   readonly ip: string;
   /** Ports of the node, in the order callers, peers, readiness. */
   readonly ports: readonly [number, number, number];
@@ -93,5 +94,6 @@
       },
       () => 0,
     );
-  return { host, agent, directory, ip, ports: [CALLER_PORT, PEER_PORT, READY_PORT], send };
+  const settingsFile = join(directory, `${ip}.toml`);
+  return { host, agent, settingsFile, ip, ports: [CALLER_PORT, PEER_PORT, READY_PORT], send };
 }
--- a/test/sidecar/start.test.ts
+++ b/test/sidecar/start.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { open } from 'node:fs/promises';
+import { open, readFile, writeFile } from 'node:fs/promises';
 import { connect, createServer } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -63,3 +63,17 @@
   assert.deepEqual(exits, []);
   assert.equal(await send('e1'), 200);
 });
+
+test('a node starts once its settings file is complete', async (t) => {
+  // Guards against a node that ends at its start because its settings are still being written.
+  const { host, agent, settingsFile } = await openPlatformHost(t, { subnet: 245 });
+  const settings = await readFile(settingsFile, 'utf8');
+  await writeFile(settingsFile, settings.slice(0, settings.length / 2));
+  const exits: UnexpectedExit[] = [];
+  host.onUnexpectedExit = (exit) => exits.push(exit);
+  host.startNode();
+  await sleep(500);
+  await writeFile(settingsFile, settings);
+  await host.waitUntilReady(agent);
+  assert.deepEqual(exits, []);
+});
