Check in the process soak that no node ends by itself

Ends that the soak did not ask for are observed now and break the promise process-runs; SIGHUP counts once Node.js runs the program, as no program can catch it before. A planned stop sends SIGTERM twice. The draws of the faults are unchanged.

--- a/soak/processes/observation.ts
+++ b/soak/processes/observation.ts
@@ -45,6 +45,15 @@
     }
   /** The published configuration contains these keys from now on. */
   | { readonly kind: 'configured'; readonly keys: ReadonlySet<string>; readonly at: number }
+  /** A node process ended although nothing asked it to. */
+  | {
+      readonly kind: 'node-exited';
+      readonly host: string;
+      readonly code: number | null;
+      readonly signal: string | null;
+      /** Time from the start of the process to its end. */
+      readonly ageMs: number;
+    }
   /** The last fault has ended. */
   | { readonly kind: 'faults-ended'; readonly at: number };
 
@@ -85,6 +94,12 @@
  */
 const DEPARTURE_LIMIT_MS = 500;
 
+/**
+ * Node.js runs the first statement of a program, which installs its signal handlers, 20 to 40 ms
+ * after the start of the process. Beside load it takes longer.
+ */
+const RUNTIME_START_MS = 500;
+
 /** Statuses that guarantee that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -109,6 +124,8 @@
 
   readonly configured: readonly ObservationOf<'configured'>[];
 
+  readonly exits: readonly ObservationOf<'node-exited'>[];
+
   readonly faultsEndedAt: number;
 
   constructor(all: readonly Observation[]) {
@@ -126,6 +143,7 @@
     this.leftAt = new Map(of('caller-left').map(({ id, at }) => [id, at]));
     this.#faults = of('fault');
     this.configured = of('configured');
+    this.exits = of('node-exited');
     this.faultsEndedAt = of('faults-ended')[0]?.at ?? Infinity;
   }
 
@@ -238,6 +256,17 @@
   });
 }
 
+function checkExits({ exits }: ObservationIndex): readonly Breach[] {
+  return exits
+    .filter(({ signal, ageMs }) => signal !== 'SIGHUP' || ageMs > RUNTIME_START_MS)
+    .map(({ host, code, signal, ageMs }) =>
+      createBreach(
+        'process-runs',
+        `node on ${host} ended after ${Math.round(ageMs)} ms with code ${code}, signal ${signal}`,
+      ),
+    );
+}
+
 function checkRecovery(index: ObservationIndex): readonly Breach[] {
   const { requests, answers, leftAt, faultsEndedAt } = index;
   const after = [...requests.values()].filter(
@@ -269,6 +298,7 @@
     checkKeys,
     checkTimeLimit,
     checkDepartures,
+    checkExits,
     checkRecovery,
   ].flatMap((rule) => rule(index));
 }
--- a/soak/processes/process-fleet.ts
+++ b/soak/processes/process-fleet.ts
@@ -36,6 +36,9 @@
 const FIRST_HEALTH_READ_MS = 2000;
 const NESTED_TIMEOUT_MS = 700;
 
+/** Time from a stop signal to the next one, which must not shorten the stop. */
+const REPEATED_STOP_MS = 500;
+
 function routeOf(name: string, kind: 'safe' | 'unsafe', service: string, isPublic = false) {
   return {
     name,
@@ -138,6 +141,7 @@
     this.#hosts.forEach((host) => {
       this.#register(host, 0);
       this.#setUpBackend(host);
+      this.#watchExits(host);
       host.startNode();
     });
     await Promise.all(this.#hosts.map((host) => host.waitUntilReady(this.agent)));
@@ -179,6 +183,8 @@
         break;
       case 'stop':
         await this.#injectNodeFault([fault.host], async ([host]) => {
+          host?.signalNode('SIGTERM');
+          await sleep(REPEATED_STOP_MS);
           host?.signalNode('SIGTERM');
           if (host !== undefined) await this.#restart(host);
         });
@@ -221,6 +227,15 @@
     await rm(this.#directory, { recursive: true });
   }
 
+  /** Reports a node that ends by itself and starts it again, as the platform does. */
+  #watchExits(watched: HostProcess): void {
+    const host = watched;
+    host.onUnexpectedExit = (exit) => {
+      this.#observe({ kind: 'node-exited', host: host.options.ip, ...exit });
+      host.startNode();
+    };
+  }
+
   async #injectNodeFault(
     hostNumbers: readonly number[],
     act: (hosts: readonly HostProcess[]) => Promise<void>,
--- a/test/soak/observation.test.ts
+++ b/test/soak/observation.test.ts
@@ -155,3 +155,11 @@
   assert.deepEqual(brokenPromises(seen(10_500)), []);
   assert.deepEqual(brokenPromises(seen(10_700)), ['departure']);
 });
+
+test('a node that ends by itself is reported, unless Node.js could not catch the signal yet', () => {
+  // Guards against a soak that starts nodes again without noticing that they end.
+  const exited = { kind: 'node-exited', host: HOST, code: null } as const;
+  assert.deepEqual(brokenPromises([{ ...exited, signal: 'SIGHUP', ageMs: 30 }]), []);
+  assert.deepEqual(brokenPromises([{ ...exited, signal: 'SIGHUP', ageMs: 900 }]), ['process-runs']);
+  assert.deepEqual(brokenPromises([{ ...exited, signal: 'SIGABRT', ageMs: 30 }]), ['process-runs']);
+});
