Keep the parser of the HTTP client in its first tier

A part of that time and much of the memory goes into young processes: V8 compiles the WebAssembly parser of undici again with its optimizing compiler once it has parsed some hundred answers.

--- a/test/sidecar/endless-answer-memory.test.ts
+++ b/test/sidecar/endless-answer-memory.test.ts
@@ -28,6 +28,8 @@
   process.execPath,
   '--max-old-space-size=192',
   '--max-semi-space-size=1',
+  '--no-wasm-tier-up',
+  '--no-wasm-dynamic-tiering',
   'dist/js/src/main.js',
 ] as const;
 
