--- a/test/sidecar/start.test.ts
+++ b/test/sidecar/start.test.ts
@@ -1,15 +1,23 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { open, readFile, writeFile } from 'node:fs/promises';
-import { connect, createServer } from 'node:net';
-import { test } from 'node:test';
+import { connect, createServer, type Server } from 'node:net';
+import { test, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { UnexpectedExit } from '../../standin/host-process.js';
 import { waitFor } from './fleet.js';
-import { openPlatformHost } from './platform-host.js';
+import { GRACE_MS, openPlatformHost } from './platform-host.js';
 
 const POLL_MS = 20;
 
+async function holdPort(t: TestContext, port: number, ip: string): Promise<Server> {
+  const holder = createServer();
+  holder.listen(port, ip);
+  await once(holder, 'listening');
+  t.after(() => holder.close());
+  return holder;
+}
+
 async function isListening(port: number, host: string): Promise<boolean> {
   const socket = connect(port, host);
   try {
@@ -27,10 +35,7 @@
   // Guards against a node that ends at its start, or is ready before callers can reach it.
   const { host, agent, ip, ports } = await openPlatformHost(t, { subnet: 247 });
   const [callerPort, peerPort, readyPort] = ports;
-  const holder = createServer();
-  holder.listen(callerPort, ip);
-  await once(holder, 'listening');
-  t.after(() => holder.close());
+  const holder = await holdPort(t, callerPort, ip);
   const exits: UnexpectedExit[] = [];
   host.onUnexpectedExit = (exit) => exits.push(exit);
   host.startNode();
@@ -49,6 +54,20 @@
   assert.deepEqual(exits, []);
 });
 
+test('a node that waits for its address stops within the grace period', async (t) => {
+  // Guards against a start that delays a planned stop until the node is killed.
+  const { host, ip, ports } = await openPlatformHost(t, { subnet: 244 });
+  const [callerPort, peerPort] = ports;
+  await holdPort(t, callerPort, ip);
+  host.startNode();
+  while (!(await isListening(peerPort, ip))) await sleep(POLL_MS);
+  const startedAt = performance.now();
+  host.signalNode('SIGTERM');
+  await host.waitForExit();
+  const tookMs = performance.now() - startedAt;
+  assert.ok(tookMs < GRACE_MS, `${Math.round(tookMs)} ms`);
+});
+
 test('a node serves while its log cannot be written', async (t) => {
   // Guards against a full disk that ends the process with an error of standard output.
   const full = await open('/dev/full', 'w');
