--- a/standin/platform-store.ts
+++ b/standin/platform-store.ts
@@ -50,6 +50,9 @@
 
   #revision = 1;
 
+  /** Number of times that the store came back from an older copy. */
+  #era = 0;
+
   /** Revisions up to this one have been removed from the history. */
   #compactedRevision = 0;
 
@@ -118,6 +121,24 @@
     });
   }
 
+  /**
+   * Brings the store back as it was at a revision. Later revisions are given out again.
+   *
+   * @param revision - revision of the copy
+   */
+  restore(revision: number): void {
+    const kept = this.#history.filter(({ rev }) => rev <= revision);
+    this.#history.splice(0, this.#history.length, ...kept);
+    this.#items.clear();
+    kept.forEach((item) => {
+      if (item.tombstone === true) this.#items.delete(item.key);
+      else this.#items.set(item.key, item);
+    });
+    this.#revision = revision;
+    this.#era += 1;
+    this.closeWatches();
+  }
+
   /** Removes the history, so that watches from an earlier revision are answered with 410. */
   compact(): void {
     this.#compactedRevision = this.#revision;
@@ -152,10 +173,14 @@
     waiting.forEach((watch) => this.#answerWatch(watch));
   }
 
+  #answer(response: ServerResponse, status: number, value?: unknown): void {
+    answerJson(response, status, value, { 'store-era': String(this.#era) });
+  }
+
   #handleRequest(url: URL, response: ServerResponse): void {
     switch (this.mode.kind) {
       case 'refusing':
-        answerJson(response, this.mode.status);
+        this.#answer(response, this.mode.status);
         return;
       case 'silent':
         return;
@@ -177,7 +202,7 @@
         break;
       }
       default:
-        answerJson(response, 404);
+        this.#answer(response, 404);
     }
   }
 
@@ -185,7 +210,7 @@
     const items = [...this.#items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
-    answerJson(response, 200, {
+    this.#answer(response, 200, {
       items: items.slice(0, this.pageSize),
       hasMore: items.length > this.pageSize,
       asOf: this.#revision,
@@ -193,15 +218,15 @@
   }
 
   #startWatch(watch: PendingWatch, waitMs: number): void {
-    if (watch.after < this.#compactedRevision) {
-      answerJson(watch.response, 410);
+    if (watch.after < this.#compactedRevision || watch.after > this.#revision) {
+      this.#answer(watch.response, 410);
       return;
     }
     this.#answerWatch(watch);
     setTimeout(() => {
       if (!this.#watches.includes(watch)) return;
       this.#watches = this.#watches.filter((other) => other !== watch);
-      answerJson(watch.response, 200, { events: [], asOf: this.#revision });
+      this.#answer(watch.response, 200, { events: [], asOf: this.#revision });
     }, waitMs).unref();
   }
 
@@ -210,6 +235,6 @@
       ({ key, rev }) => rev > watch.after && key.startsWith(watch.prefix),
     );
     if (events.length === 0) this.#watches = [...this.#watches, watch];
-    else answerJson(watch.response, 200, { events, asOf: this.#revision });
+    else this.#answer(watch.response, 200, { events, asOf: this.#revision });
   }
 }
--- a/test/sidecar/control-path.test.ts
+++ b/test/sidecar/control-path.test.ts
@@ -8,6 +8,15 @@
   { service: 'stock', zone: 'b' },
 ] as const;
 
+/** Bound of the users' rules page for a configuration change to take effect. */
+const CONFIGURATION_LIMIT_MS = 2000;
+
+/** Time in which all nodes have read the latest changes. */
+const LISTING_MS = 1200;
+
+/** Two readers that list the values once more and watch for up to two seconds. */
+const MAX_RESTORE_CALLS = 20;
+
 function hasEvent({ log }: FleetHost, code: string): boolean {
   return log.some((entry) => entry.kind === 'event' && entry.code === code);
 }
@@ -203,3 +212,26 @@
   assert.ok([host, other].every(({ backend }) => backend.runs.every(({ id }) => id !== 'q3')));
   await Promise.allSettled([open, stopped]);
 });
+
+test('changes count after the store came back from an older copy', async (t) => {
+  // Guards against nodes that ignore a configuration as its revision was given out before.
+  const fleet = await startFleet(t, { hosts: TWO_HOSTS });
+  const copy = fleet.store.put('other/a', {});
+  ['b', 'c', 'd'].forEach((key) => fleet.store.put(`other/${key}`, {}));
+  fleet.store.put('op/config', { ...POLICY, version: 2 });
+  await waitFor('version 2', () => fleet.hosts.every((host) => appliedVersion(host) === 2));
+  await sleep(LISTING_MS);
+  fleet.store.restore(copy);
+  const callsBefore = [...fleet.store.callsByPath.values()].reduce((sum, calls) => sum + calls, 0);
+  const [account] = POLICY.tenants;
+  const tenants = [{ ...account, apiKeys: ['another'] }];
+  fleet.store.put('op/config', { ...POLICY, version: 3, tenants });
+  const changedAt = performance.now();
+  await waitFor('version 3', () => fleet.hosts.every((host) => appliedVersion(host) === 3));
+  const tookMs = performance.now() - changedAt;
+  assert.ok(tookMs < CONFIGURATION_LIMIT_MS, `${Math.round(tookMs)} ms`);
+  const [host] = hostsOf(fleet);
+  assert.equal((await fleet.call(host, { id: 'e1' })).status, 401);
+  const calls = [...fleet.store.callsByPath.values()].reduce((sum, count) => sum + count, 0);
+  assert.ok(calls - callsBefore < MAX_RESTORE_CALLS, `${calls - callsBefore} calls`);
+});
