Log an error that ends a node

It is now the last line of the log ([4222]). The new test ends a node with an error and reads its log.

--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -46,8 +46,18 @@
   }
 }
 
+/** Logs an error that ends the process, since standard error is often not kept. */
+function logFailure(log: ReturnType<typeof openLog>): void {
+  process.on('uncaughtExceptionMonitor', ({ message, stack }) => {
+    const details = { reason: stack ?? message };
+    log.write({ kind: 'event', code: 'processFailed', details });
+    log.flush();
+  });
+}
+
 function openSidecar(settings: SidecarSettings): Sidecar {
   const log = openLog(settings.node);
+  logFailure(log);
   const { dialect, store, decodeValue, paths } = createPlatformConnection(settings.storeAddress);
   return new Sidecar(settings, {
     clock: monotonicClock,
--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -585,6 +585,12 @@
     message: '{lines} lines were lost because standard output was not read or could not be written',
     hint: 'Check the reader of the log and the free space; the counters on the metrics address are complete.',
   },
+  processFailed: {
+    number: 4222,
+    title: 'Process ended by an error',
+    message: 'an error that was not handled ends the process: {reason}',
+    hint: 'Report the error with the lines before it; requests in flight were lost.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/test/sidecar/start.test.ts
+++ b/test/sidecar/start.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { open, readFile, writeFile } from 'node:fs/promises';
+import { mkdtemp, open, readFile, rm, writeFile } from 'node:fs/promises';
 import { connect, createServer, type Server } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { test, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { UnexpectedExit } from '../../standin/host-process.js';
@@ -96,3 +98,21 @@
   await host.waitUntilReady(agent);
   assert.deepEqual(exits, []);
 });
+
+test('a node that an error ends leaves the error in its log', async (t) => {
+  // Guards against a process that ends without a trace where only its log is kept.
+  const failure = "setTimeout(() => { throw new Error('unforeseen'); }, 1000)";
+  const directory = await mkdtemp(join(tmpdir(), 'almondhoist-log-'));
+  t.after(() => rm(directory, { recursive: true }));
+  const file = await open(join(directory, 'log'), 'w+');
+  t.after(() => file.close());
+  const { host } = await openPlatformHost(t, {
+    subnet: 243,
+    logFile: file.fd,
+    nodeOptions: ['--import', `data:text/javascript,${encodeURIComponent(failure)}`],
+  });
+  host.startNode();
+  await host.waitForExit();
+  const log = await readFile(join(directory, 'log'), 'utf8');
+  assert.match(log.trim().split('\n').at(-1) ?? '', /\[4222\].*unforeseen/);
+});
