--- a/soak/processes/process-fleet.ts
+++ b/soak/processes/process-fleet.ts
@@ -227,13 +227,10 @@
     await rm(this.#directory, { recursive: true });
   }
 
-  /** Reports a node that ends by itself and starts it again, as the platform does. */
   #watchExits(watched: HostProcess): void {
     const host = watched;
-    host.onUnexpectedExit = (exit) => {
+    host.onUnexpectedExit = (exit) =>
       this.#observe({ kind: 'node-exited', host: host.options.ip, ...exit });
-      host.startNode();
-    };
   }
 
   async #injectNodeFault(
--- a/standin/host-process.ts
+++ b/standin/host-process.ts
@@ -57,7 +57,10 @@
   /** Processes that were asked to end. */
   readonly #endedNodes = new WeakSet<ChildProcess>();
 
-  /** Called when the node process ends without SIGTERM or SIGKILL from `signalNode`. */
+  /**
+   * Called when the node process ends without SIGTERM or SIGKILL from `signalNode`. The node is then
+   * started again, as the platform does.
+   */
   onUnexpectedExit: (exit: UnexpectedExit) => void = () => {};
 
   private constructor(options: HostOptions, backend: PlatformBackend, backendPort: number) {
@@ -94,6 +97,7 @@
     node.once('exit', (code, signal) => {
       if (this.#endedNodes.has(node)) return;
       this.onUnexpectedExit({ code, signal, ageMs: performance.now() - startedAt });
+      this.startNode();
     });
   }
 
