--- a/test/runtime/backend-answers.test.ts
+++ b/test/runtime/backend-answers.test.ts
@@ -42,6 +42,12 @@
 const NOT_HTTP: Handler = (_, response) => {
   response.socket?.end(`${PARTIAL_BODY}\r\n\r\n`);
 };
+const STATUS_000: Handler = (_, response) => {
+  response.socket?.end(`HTTP/1.1 000 None\r\ncontent-length: 17\r\n\r\n${PARTIAL_BODY}`);
+};
+const STATUS_099: Handler = (_, response) => {
+  response.socket?.end(`HTTP/1.1 099 None\r\ncontent-length: 17\r\n\r\n${PARTIAL_BODY}`);
+};
 const CLOSED_CONNECTION: Handler = (_, response) => {
   response.destroy();
 };
@@ -72,6 +78,8 @@
   failingCase('short-head', SHORT_HEAD, 3002),
   failingCase('two-lengths', TWO_LENGTHS, 3002),
   failingCase('no-http', NOT_HTTP, 3002),
+  failingCase('status-000', STATUS_000, 3002),
+  failingCase('status-099', STATUS_099, 3003),
   failingCase('close', CLOSED_CONNECTION, 3002),
   { ...failingCase('silent', NO_ANSWER, 3001, 504), isLate: true },
 ];
--- a/test/sidecar/cut-answer.test.ts
+++ b/test/sidecar/cut-answer.test.ts
@@ -3,6 +3,7 @@
 import { test, type TestContext } from 'node:test';
 import { httpDialect } from '../../platform/http-dialect.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
+import type { MeshCall } from '../../src/core/exchange/mesh-call.js';
 import type { ExchangeEnd } from '../../src/sidecar/backend-exchange.js';
 import { BackendSender, type RunningCall } from '../../src/sidecar/backend-sender.js';
 import { listenOn } from '../../standin/host-process.js';
@@ -67,8 +68,10 @@
   };
 }
 
-async function exchange(sender: BackendSender): Promise<ExchangeEnd> {
-  const call = callOf('a1', 'idempotent');
+async function exchange(
+  sender: BackendSender,
+  call: MeshCall = callOf('a1', 'idempotent'),
+): Promise<ExchangeEnd> {
   return new Promise((resolve) => {
     const run: RunningCall = sender.prepare(call, (end) => {
       sender.finish(run, end);
@@ -100,3 +103,45 @@
     });
   }
 }
+
+/** Larger than the buffers of a connection, so that it is being written when the answer comes. */
+const UPLOAD = new Uint8Array(8_000_000);
+
+/** Parts of an answer that the backend server sends before it has read the request. */
+const EARLY_PARTS: Readonly<Record<string, string>> = {
+  'without a length': `HTTP/1.1 200 OK\r\n${SIGNED}\r\n${BODY}`,
+  'in chunks': `HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n4\r\n${BODY.slice(0, 4)}\r\n`,
+  'with a length': FRAMED.slice(0, -1),
+};
+
+for (const [name, part] of Object.entries(EARLY_PARTS)) {
+  test(`an early answer ${name} to an upload that is then reset is a failure`, async (t) => {
+    // Guards against a part of an answer that passes for a whole one because the upload went on.
+    const { sender, answerWith } = await startCutServer(t);
+    for (const end of [reset, endInOrder]) {
+      for (let round = 0; round < 6; round += 1) {
+        answerWith(part, end);
+        const upload = { ...callOf('a1', 'at-most-once'), method: 'POST', body: UPLOAD };
+        const result = await exchange(sender, upload);
+        assert.equal(result.kind, 'failed');
+      }
+    }
+  });
+}
+
+for (const status of ['000', '099']) {
+  test(`an answer with status ${status} is a failure`, async (t) => {
+    // Guards against an answer of a faulty backend server that HTTP does not know.
+    const { sender, answerWith } = await startCutServer(t);
+    for (const headers of [SIGNED, '']) {
+      for (const end of [reset, endInOrder]) {
+        answerWith(
+          `HTTP/1.1 ${status} None\r\n${headers}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
+          end,
+        );
+        const result = await exchange(sender);
+        assert.equal(result.kind, 'failed');
+      }
+    }
+  });
+}
