Log the age of the load on which a request is refused

Cause: a refusal at the entry logged the pressure and the admitted share, but not when the load was last reported, so on-call engineers could not tell an old belief from a new one.

Change: the refusal's line holds loadAgeMs.

No change of decisions.

--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -5,7 +5,7 @@
 } from '../core/exchange/admission-pipeline.js';
 import type { GateLoad, MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { RouteName } from '../core/model/names.js';
-import type { Clock, Milliseconds } from '../core/model/time.js';
+import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { PrefixRoute } from '../core/policy/policy.js';
 import {
   addPressureSample,
@@ -201,11 +201,18 @@
       route: route.name,
       pressure: roundToHundredths(pressure),
       admitted: roundToHundredths(admission.fraction),
+      loadAgeMs: this.#ageOf(route.name, now),
       attempt: isReturn ? 'return' : 'first',
     };
     return { retryAfterMs: this.chooseRetryAfterMs(route), details };
   }
 
+  /** Time since the load of a route was last reported; -1 without a report. */
+  #ageOf(route: RouteName, now: Instant): Milliseconds {
+    const at = this.#loads.get(route)?.pressure.at ?? 0;
+    return at === 0 ? -1 : Math.round(now - at);
+  }
+
   /**
    * Chooses the retry delay for a refused caller. Its jitter keeps callers that were refused
    * together from retrying together.
