--- a/test/core/shedding/processor-price.test.ts
+++ b/test/core/shedding/processor-price.test.ts
@@ -4,7 +4,7 @@
 import { CallGraph, type CallGraphResult } from './call-graph.js';
 import { CLASS_FLOOR, ORDER_TOLERANCE, SCARCE_FLEET, servedShare } from './scarce-fleet.js';
 
-/** Processor time of a node for one call, from a fast host to one at a third of its speed, in ms. */
+/** Processor time of a node for one call, from a fast host to one at a quarter of its speed. */
 const PRICES_MS: readonly number[] = [0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 1, 1.2];
 
 /** How often a refused caller comes back. */
@@ -27,20 +27,18 @@
   return SCARCE_FLEET.arrivals.find((arrivals) => arrivals.kind === kind)?.perSecond ?? 0;
 }
 
-/** Share of the fleet's requests that a finder node receives as their entry. */
-function entryShare(): number {
-  const nodes = SCARCE_FLEET.services.reduce((sum, { gates }) => sum + gates, 0);
-  return 1 / nodes;
-}
+/** Lookups a second that callers ask for. */
+const DEMAND = LOOKUPS.reduce((sum, kind) => sum + arrivalRate(kind), 0);
 
 /** Lookups a second that the finder nodes can handle beside the requests of other kinds. */
 function possibleLookups(priceMs: number): number {
   const finders = SCARCE_FLEET.services.find(({ name }) => name === 'finder')?.gates ?? 0;
   const handlings = (finders * 1000) / priceMs;
-  const entered = finders * entryShare();
+  const nodes = SCARCE_FLEET.services.reduce((sum, { gates }) => sum + gates, 0);
+  // Finder nodes are entries too.
+  const entered = finders / nodes;
   const others = arrivalRate('directory') * (1 + entered) + arrivalRate('collection') * entered;
-  const demand = LOOKUPS.reduce((sum, kind) => sum + arrivalRate(kind), 0);
-  return Math.min(demand, (handlings - others) / (LOOKUP_HANDLINGS + entered));
+  return Math.min(DEMAND, (handlings - others) / (LOOKUP_HANDLINGS + entered));
 }
 
 function servedLookups(result: CallGraphResult): number {
@@ -52,8 +50,7 @@
 
 /** Whether the floors of all lookups fit into the bound on the goodput. */
 function canKeepFloors(priceMs: number): boolean {
-  const demand = LOOKUPS.reduce((sum, kind) => sum + arrivalRate(kind), 0);
-  return IDEAL_SHARE * possibleLookups(priceMs) >= CLASS_FLOOR * demand;
+  return IDEAL_SHARE * possibleLookups(priceMs) >= CLASS_FLOOR * DEMAND;
 }
 
 function describeLoad(priceMs: number, returns: number): string {
