--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -5,7 +5,6 @@
 import type { Instant, Milliseconds } from '../model/time.js';
 import { findRoute, type PolicyLookup } from '../policy/policy-lookup.js';
 import type { PrefixRoute, QuotaAccount } from '../policy/policy.js';
-import type { CallerAttempt } from '../shedding/caller-attempts.js';
 import type { IncomingHead, IncomingRequest } from './incoming-request.js';
 import type { Rank } from './mesh-call.js';
 
@@ -37,12 +36,6 @@
   readonly deadline: Instant;
 }
 
-/** An attempt of a caller, with the route and the rank of its request. */
-export interface RankedAttempt extends CallerAttempt {
-  readonly route: PrefixRoute;
-  readonly rank: Rank;
-}
-
 /** State and decisions of the node's other tasks that the filters use. */
 export interface AdmissionView {
   readonly lookup: () => PolicyLookup | null;
@@ -52,7 +45,7 @@
   /** @returns null when the request is within the quota */
   readonly spendQuota: (account: QuotaAccount) => Limitation | null;
   /** @returns null when the load of the route permits the request */
-  readonly limitLoad: (attempt: RankedAttempt) => Limitation | null;
+  readonly limitLoad: (route: PrefixRoute, rank: Rank) => Limitation | null;
   readonly chooseService: (route: PrefixRoute) => ServiceName | null;
   /** @returns time after which a refused caller may retry */
   readonly retryDelayMs: (route: PrefixRoute) => Milliseconds;
@@ -178,10 +171,7 @@
       return err(refusal('nodeLeaving', view.retryDelayMs(route)));
     }
     // Refusing a nested call would waste the work of its running parent.
-    const { callerTimeoutMs } = request;
-    const overload = rank.isNested
-      ? null
-      : view.limitLoad({ route, rank, fingerprint, arrivedAt, callerTimeoutMs });
+    const overload = rank.isNested ? null : view.limitLoad(route, rank);
     if (overload !== null) {
       return err(refusal('overloadedEarly', overload.retryAfterMs, overload.details));
     }
--- a/src/core/shedding/root-admission.ts
+++ b/src/core/shedding/root-admission.ts
@@ -13,10 +13,7 @@
  */
 const DECREASE_SHARE = 0.3;
 
-/**
- * Increase per interval: a fixed step, plus this share of the fraction at zero pressure. It falls with
- * the square of the headroom, so that the fraction settles below the threshold.
- */
+/** Increase per interval: a fixed step, plus this share of the fraction at zero pressure. */
 const INCREASE_STEP = 0.02;
 const INCREASE_SHARE = 0.4;
 
@@ -25,7 +22,7 @@
  * after the requests have made their calls, so a faster one overshoots: what it admits too much loses
  * its calls after others have run.
  */
-const DOWNSTREAM_INCREASE_SHARE = 0.2;
+const DOWNSTREAM_INCREASE_SHARE = 0.15;
 
 /** Fraction that is always admitted; only its replies show that the pressure has dropped. */
 const MIN_FRACTION = 0.1;
@@ -55,23 +52,13 @@
 export interface RootAdmission {
   readonly fraction: number;
   readonly adjustedAt: Instant;
-  /** Grows by the fraction with each first attempt; each whole unit admits one attempt. */
+  /** Grows by the fraction with each request; each whole unit admits one request. */
   readonly credit: number;
 }
 
 /** Admits all requests. */
 export const openAdmission: RootAdmission = { fraction: 1, adjustedAt: 0, credit: 1 };
 
-/** What one root request encounters. */
-export interface RootDemand {
-  /** Pressure of the services that such requests use, from 0 to 1. */
-  readonly pressure: number;
-  /** How requests of this rank give way. */
-  readonly duty: OverloadDuty;
-  /** Whether the caller has sent the same request before. */
-  readonly isReturn: boolean;
-}
-
 /** Decision on one root request. */
 export interface RootAdmissionStep {
   readonly admission: RootAdmission;
@@ -96,13 +83,14 @@
   const threshold = pressureThreshold(thresholdRank);
   const increaseShare = isDownstream ? DOWNSTREAM_INCREASE_SHARE : INCREASE_SHARE;
   const excess = isSpared ? Math.min(0, pressure - threshold) : pressure - threshold;
-  if (excess > 0) {
-    const reduced = admission.fraction * (1 - DECREASE_SHARE * excess) ** intervals;
-    return { ...admission, fraction: Math.max(MIN_FRACTION, reduced), adjustedAt: now };
-  }
-  const headroom = -excess / threshold;
-  const raised = admission.fraction * (1 + increaseShare * headroom ** 2) ** intervals;
-  const fraction = Math.min(1, raised + INCREASE_STEP * intervals);
+  const fraction =
+    excess > 0
+      ? Math.max(MIN_FRACTION, admission.fraction * (1 - DECREASE_SHARE * excess) ** intervals)
+      : Math.min(
+          1,
+          admission.fraction * (1 - (increaseShare * excess) / threshold) ** intervals +
+            INCREASE_STEP * intervals,
+        );
   return { ...admission, fraction, adjustedAt: now };
 }
 
@@ -110,24 +98,20 @@
  * Decides whether a root request is admitted. When a service deep in the call graph is overloaded,
  * requests are refused before their first call rather than after their other calls have run.
  *
- * The admitted fraction is one of requests and not of attempts: with three returns, 0.2 of the
- * attempts would let in 0.59 of the requests at any pressure.
- *
  * @param before - admission of requests of this route and account priority
- * @param demand - the request, and the pressure that it encounters
+ * @param pressure - pressure of the services that such requests use, from 0 to 1
+ * @param duty - how requests of this rank give way
  * @param now - the current instant
  * @returns the decision and the next admission
  */
 export function admitRoot(
   before: RootAdmission,
-  { pressure, duty, isReturn }: RootDemand,
+  pressure: number,
+  duty: OverloadDuty,
   now: Instant,
 ): RootAdmissionStep {
   const admission = adjustFraction(before, pressure, duty, now);
-  if (admission.fraction >= 1 && pressure <= pressureThreshold(duty.thresholdRank)) {
-    return { admission, isAdmitted: true };
-  }
-  const credit = Math.min(2, admission.credit + (isReturn ? 0 : admission.fraction));
+  const credit = Math.min(2, admission.credit + admission.fraction);
   return credit >= 1
     ? { admission: { ...admission, credit: credit - 1 }, isAdmitted: true }
     : { admission: { ...admission, credit }, isAdmitted: false };
--- a/src/core/shedding/route-load.ts
+++ b/src/core/shedding/route-load.ts
@@ -50,7 +50,7 @@
  * Without it, an overload that serves half of the requests serves next to none of the lowest rank.
  * `docs/decisions/platform-path.md` compares values.
  */
-export const LEAST_SHARE = 0.3;
+export const LEAST_SHARE = 0.2;
 
 /** Ranks without requests for this time are ignored, since shedding them frees no capacity. */
 const RECENT_ADMISSION_MS: Milliseconds = 3000;
@@ -130,9 +130,7 @@
   { pressure, fullPressure, hasLostCalls }: RouteReport,
   now: Instant,
 ): RouteLoad {
-  // Requests that are shed lose no calls, so the overload lasts for as long as pressure is reported.
-  const isUnderPressure = hasDownstreamOverload(before, now) && fullPressure >= OVERLOAD_PRESSURE;
-  const downstreamOverloadAt = hasLostCalls || isUnderPressure ? now : before.downstreamOverloadAt;
+  const downstreamOverloadAt = hasLostCalls ? now : before.downstreamOverloadAt;
   // Downstream pressure matters only to routes whose requests reach the overloaded service.
   const isAffected = hasDownstreamOverload({ ...before, downstreamOverloadAt }, now);
   return {
--- a/src/sidecar/load-task.ts
+++ b/src/sidecar/load-task.ts
@@ -1,8 +1,4 @@
-import type {
-  AdmittedRequest,
-  Limitation,
-  RankedAttempt,
-} from '../core/exchange/admission-pipeline.js';
+import type { AdmittedRequest, Limitation } from '../core/exchange/admission-pipeline.js';
 import type { GateLoad, MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { RouteName } from '../core/model/names.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
@@ -13,11 +9,6 @@
   currentPressure,
   type SmoothedPressure,
 } from '../core/shedding/smoothed-pressure.js';
-import {
-  noAttempts,
-  recordAttempt,
-  type CallerAttempts,
-} from '../core/shedding/caller-attempts.js';
 import { admitRoot, openAdmission } from '../core/shedding/root-admission.js';
 import {
   applySharedLoad,
@@ -96,8 +87,6 @@
 
   readonly #admissions = new Map<string, RankedAdmission>();
 
-  #attempts: CallerAttempts = noAttempts;
-
   /** Highest pressure on the calls that the own backend server makes. */
   #nestedPressure: SmoothedPressure = noPressure;
 
@@ -179,14 +168,11 @@
   /**
    * Decides whether a request is admitted under the current load of its route.
    *
-   * @param attempt - route and rank of the request, and how to know its caller again
+   * @param request - route and rank of the request
    * @returns null when it is admitted
    */
-  limit(attempt: RankedAttempt): Limitation | null {
-    const { route, rank } = attempt;
+  limit({ route, rank }: RankedRequest): Limitation | null {
     const now = this.#options.clock.now();
-    const { attempts, isReturn } = recordAttempt(this.#attempts, attempt);
-    this.#attempts = attempts;
     // Loads over all nodes are applied to the routes that are known here.
     if (!this.#loads.has(route.name)) this.#loads.set(route.name, initialRouteLoad);
     const key = `${route.name} ${rank.accountPriority}`;
@@ -194,7 +180,7 @@
     const before = this.#admissions.get(key) ?? openAdmission;
     const own = { route: route.name, rank, fraction: before.fraction };
     const duty = overloadDuty(this.#loads, this.#admissions.values(), own, now);
-    const { admission, isAdmitted } = admitRoot(before, { pressure, duty, isReturn }, now);
+    const { admission, isAdmitted } = admitRoot(before, pressure, duty, now);
     this.#admissions.set(key, { ...admission, rank, route: route.name });
     if (isAdmitted) return null;
     const details = {
@@ -202,7 +188,6 @@
       pressure: roundToHundredths(pressure),
       admitted: roundToHundredths(admission.fraction),
       loadAgeMs: this.#ageOf(route.name, now),
-      attempt: isReturn ? 'return' : 'first',
     };
     return { retryAfterMs: this.chooseRetryAfterMs(route), details };
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -327,7 +327,7 @@
         canServeUntil: (deadline) => canServeUntil(this.#plannedStop, deadline, clock.now()),
         isQuarantined: (fingerprint) => this.#fleet.crashes.isQuarantined(fingerprint),
         spendQuota: (account) => this.#fleet.quotas.spendToken(account),
-        limitLoad: (attempt) => this.#fleet.loads.limit(attempt),
+        limitLoad: (route, rank) => this.#fleet.loads.limit({ route, rank }),
         chooseService: (route) => this.#controlPath.policy.chooseService(route),
         retryDelayMs: (route) => this.#fleet.loads.chooseRetryAfterMs(route),
       },
