--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -98,6 +98,7 @@
     const declaredLength = request.headers['content-length'];
     const declaredBytes = declaredLength === undefined ? null : Number(declaredLength);
     const buffer = new BodyBuffer(declaredBytes);
+    let countedBytes = 0;
     let timer: NodeJS.Timeout | null = null;
     const release = (): void => this.#admission.send({ kind: 'released', number });
     /** Ends the reading once, and tells whether it was still going on. */
@@ -127,7 +128,10 @@
         giveUp({ kind: 'too-large' });
         return;
       }
-      this.#admission.send({ kind: 'received', number, bytes: chunk.length, declaredBytes });
+      const bytes = buffer.heldBytes - countedBytes;
+      if (bytes <= 0) return;
+      countedBytes += bytes;
+      this.#admission.send({ kind: 'received', number, bytes, declaredBytes });
     });
     request.on('end', () => {
       if (endReading()) onResult({ kind: 'complete', body: buffer.take(), release });
--- a/standin/platform-settings.ts
+++ b/standin/platform-settings.ts
@@ -11,6 +11,10 @@
   readonly callerPort: number;
   readonly peerPort: number;
   readonly readyPort: number;
+  /** Memory of the host in megabytes; 350 by default. */
+  readonly memoryMb?: number;
+  /** Descriptors that a process may open; 4100 by default. */
+  readonly maxFds?: number;
 }
 
 /**
@@ -21,6 +25,7 @@
  */
 export function formatSettingsFile(host: HostSettings): string {
   const { node, ip, zone, service, backend, store, callerPort, peerPort, readyPort } = host;
+  const { memoryMb = 350, maxFds = 4100 } = host;
   return `
 nodeName = "${node}"
 ip = "${ip}"
@@ -33,7 +38,8 @@
 inbound = "${ip}:${peerPort}"
 ready = "${ip}:${readyPort}"
 [limits]
-memoryMb = 350
+memoryMb = ${memoryMb}
+maxFds = ${maxFds}
 [bounds]
 grace = "6s"
 retryBudgetRatio = 0.2
--- /dev/null
+++ b/test/sidecar/misbehaving-clients.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { formatHead, openUnread, readPeakMemory, sendAll, waitForEnd } from './crowds.js';
+import { openPlatformHost, type PlatformHost } from './platform-host.js';
+
+/** Memory of the host in these tests, which is that of the smallest hosts of the platform. */
+const MEMORY_MB = 250;
+
+/** Descriptors of the node in these tests; a node of the sites may open 4100 or more. */
+const MAX_FDS = 200;
+
+/** As in the deploy file. */
+const NODE_OPTIONS = [
+  '--max-old-space-size=192',
+  '--max-semi-space-size=1',
+  '--no-wasm-tier-up',
+  '--no-wasm-dynamic-tiering',
+];
+
+const ORDINARY_ATTEMPTS = 100;
+const ATTEMPT_INTERVAL_MS = 100;
+
+interface Node {
+  readonly host: PlatformHost;
+  readonly pid: number;
+}
+
+/** Sends ordinary requests until one is served; a node that has just been full refuses some. */
+async function sendOrdinary({ send }: PlatformHost, name: string): Promise<void> {
+  const statuses: number[] = [];
+  while (statuses.at(-1) !== 200 && statuses.length < ORDINARY_ATTEMPTS) {
+    if (statuses.length > 0) await sleep(ATTEMPT_INTERVAL_MS);
+    statuses.push(await send(`${name}-${statuses.length}`));
+  }
+  assert.equal(statuses.at(-1), 200, `statuses ${statuses.join(', ')}`);
+}
+
+async function startNode(context: TestContext, subnet: number): Promise<Node> {
+  const limits = { memoryMb: MEMORY_MB, maxFds: MAX_FDS };
+  const host = await openPlatformHost(context, { subnet, nodeOptions: NODE_OPTIONS, ...limits });
+  host.host.startNode();
+  await host.host.waitUntilReady(host.agent);
+  const pid = host.host.nodePid;
+  assert.ok(pid !== null);
+  await sendOrdinary(host, 'first');
+  return { host, pid };
+}
+
+/** Checks that the process lives, within its memory, and serves an ordinary request. */
+async function checkNode(context: TestContext, { host, pid }: Node): Promise<void> {
+  assert.equal(host.host.nodePid, pid, 'the process of the node has ended');
+  await sendOrdinary(host, 'last');
+  const peakMb = (await readPeakMemory(pid)) / 1e6;
+  context.diagnostic(`${Math.round(peakMb)} MB at the peak`);
+  assert.ok(peakMb < MEMORY_MB, `${Math.round(peakMb)} MB at the peak`);
+  assert.equal(host.host.nodePid, pid, 'the process of the node has ended');
+}
+
+/** Opens connections one after the other and does the same on each. */
+async function openCrowd(
+  { host }: Node,
+  size: number,
+  act: (socket: Socket, id: string) => Promise<void>,
+): Promise<readonly Socket[]> {
+  const sockets: Socket[] = [];
+  for (let at = 0; at < size; at += 1) {
+    const socket = await openUnread(host);
+    sockets.push(socket);
+    await act(socket, `c${at}`);
+  }
+  return sockets;
+}
+
+function closeAll(sockets: readonly Socket[]): void {
+  sockets.forEach((socket) => socket.destroy());
+}
+
+test('bodies in very small chunks that stop short of their end stay within the memory of the host', async (t) => {
+  // Guards against memory for each chunk that is many times the bytes that are counted.
+  const node = await startNode(t, 242);
+  const chunks = Buffer.from('1\r\nx\r\n'.repeat(30_000));
+  const sockets = await openCrowd(node, 200, async (socket, id) => {
+    await sendAll(socket, formatHead(id, 'POST /order/1', ['Transfer-Encoding: chunked']));
+    await sendAll(socket, chunks);
+  });
+  await Promise.all(sockets.map(waitForEnd));
+  await checkNode(t, node);
+  closeAll(sockets);
+});
--- a/test/sidecar/platform-host.ts
+++ b/test/sidecar/platform-host.ts
@@ -23,6 +23,10 @@
   readonly nodeOptions?: readonly string[];
   /** File descriptor for the log of the node. */
   readonly logFile?: number;
+  /** Memory of the host in megabytes, as its settings state it. */
+  readonly memoryMb?: number;
+  /** Descriptors that the node may open, as its settings state it. */
+  readonly maxFds?: number;
 }
 
 /** One host of the stand-in platform, whose node is not started yet. */
