Bound the memory of answers that callers do not read

Callers that asked for long answers and did not read them ended the process: it ran out of memory. A node kept each answer until its caller had read it, without a limit. 60 answers of 4 MB took 335 MB of a host with 250 MB.

Unread answers may take a tenth of the memory. Beyond it, the connection whose answers have waited longest is closed ([4223]); a single answer is never given up for its size.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -591,6 +591,12 @@
     message: 'an error that was not handled ends the process: {reason}',
     hint: 'Report the error with the lines before it; requests in flight were lost.',
   },
+  answerUnread: {
+    number: 4223,
+    title: 'Connection closed, answer not read',
+    message: 'a connection was closed whose caller had not read its answers for longest',
+    hint: 'Answers that callers have not read may take a tenth of the memory; look for slow readers.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -18,6 +18,7 @@
 import { Task } from '../core/task/task.js';
 import { refuseUnread, writeAnswer } from './answer-writer.js';
 import type { Exchange } from './entry-task.js';
+import type { AnswerReader, UnreadAnswers } from './unread-answers.js';
 
 /** A request that has been read completely. */
 export interface CompleteRequest {
@@ -35,6 +36,10 @@
   readonly socket: Socket;
   readonly conditions: () => PipelineConditions;
   readonly handle: (request: CompleteRequest) => Exchange;
+  /** Answers that the callers of all connections have not read. */
+  readonly unreadAnswers: UnreadAnswers;
+  /** Called when the connection is closed because its caller does not read its answers. */
+  readonly onUnread: () => void;
 }
 
 interface OpenRequest {
@@ -51,7 +56,7 @@
 }
 
 /** Owns one connection of a caller and the requests on it that have not been answered. */
-export class CallerConnection {
+export class CallerConnection implements AnswerReader {
   readonly #options: CallerConnectionOptions;
 
   readonly #pipeline: Task<CallerPipeline, PipelineMessage, PipelineEffect>;
@@ -84,7 +89,10 @@
     const { socket } = options;
     // The end of the caller's side is read before the connection counts as closed.
     socket.once('end', () => this.#cancelAll());
-    socket.once('close', () => this.#cancelAll());
+    socket.once('close', () => {
+      this.#cancelAll();
+      options.unreadAnswers.removeAll(this);
+    });
     // The HTTP server calls this behind a last answer. Closing with unread bytes would reset the
     // connection, and the caller might lose that answer.
     socket.destroySoon = () => this.#closeGracefully();
@@ -141,6 +149,12 @@
     this.#send({ kind: 'released' });
   }
 
+  /** {@inheritDoc AnswerReader.closeUnread} */
+  closeUnread(): void {
+    this.#options.onUnread();
+    this.#options.socket.destroy();
+  }
+
   #add(
     request: CompleteRequest,
     { bytes, isLast }: { readonly bytes: number; readonly isLast: boolean },
@@ -202,7 +216,9 @@
     if (open === undefined) return;
     open.request.release();
     this.#open.set(number, { ...open, exchange: null, outcome });
-    this.#send({ kind: 'answered', number, bytes: outcomeBytes(outcome) });
+    const bytes = outcomeBytes(outcome);
+    this.#options.unreadAnswers.add(this, bytes);
+    this.#send({ kind: 'answered', number, bytes });
   }
 
   #discard(number: RequestNumber): void {
@@ -217,8 +233,10 @@
     const { response } = open.request;
     this.#lastResponse = response;
     if (!response.destroyed) this.#unwritten.add(response);
+    const bytes = outcomeBytes(open.outcome);
     const forget = (): void => {
-      this.#unwritten.delete(response);
+      if (!this.#unwritten.delete(response)) return;
+      this.#options.unreadAnswers.remove(this, bytes);
     };
     response.once('finish', forget);
     response.once('close', forget);
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -9,6 +9,7 @@
 import { CallerConnection, type CompleteRequest } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
 import { RequestBodies } from './request-bodies.js';
+import { UnreadAnswers } from './unread-answers.js';
 
 /** Options of the listener. */
 export interface RequestListenerOptions {
@@ -16,6 +17,8 @@
   readonly dialect: Dialect;
   /** Limit of the bytes of request bodies that are buffered at the same time. */
   readonly maxBufferedBytes: number;
+  /** Limit of the bytes of answers that callers have not read. */
+  readonly maxUnreadBytes: number;
   readonly handle: (request: IncomingRequest, arrivedAt: Instant) => Exchange;
   /** @returns time from the head of a request to its deadline; null when it is not known */
   readonly timeLimit: (head: IncomingHead) => Milliseconds | null;
@@ -24,6 +27,8 @@
   readonly isStopping: () => boolean;
   /** Called when a request is refused before it was read completely. */
   readonly onUnreadRefusal: (code: CodeName) => void;
+  /** Called when a connection is closed to keep a limit of the node. */
+  readonly onConnectionClosed: (code: CodeName) => void;
 }
 
 const EMPTY_BODY = new Uint8Array();
@@ -54,6 +59,8 @@
 
   readonly #connections = new Map<Duplex, CallerConnection>();
 
+  readonly #unreadAnswers: UnreadAnswers;
+
   #limits: CallerLimits | null = null;
 
   /**
@@ -61,9 +68,10 @@
    */
   constructor(options: RequestListenerOptions) {
     this.#options = options;
-    const { maxBufferedBytes, clock } = options;
+    const { maxBufferedBytes, maxUnreadBytes, clock } = options;
     const limits = { totalBytes: maxBufferedBytes, bodyBytes: INITIAL_MAX_BODY_BYTES };
     this.#bodies = new RequestBodies(limits, clock);
+    this.#unreadAnswers = new UnreadAnswers(maxUnreadBytes);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -102,12 +110,14 @@
   }
 
   #open(socket: Socket): void {
-    const { clock, isHeld, isStopping } = this.#options;
+    const { clock, isHeld, isStopping, onConnectionClosed } = this.#options;
     const connection = new CallerConnection({
       clock,
       socket,
       conditions: () => ({ isHeld: isHeld(), isStopping: isStopping() }),
       handle: (request) => this.#handle(request),
+      unreadAnswers: this.#unreadAnswers,
+      onUnread: () => onConnectionClosed('answerUnread'),
     });
     this.#connections.set(socket, connection);
     socket.once('close', () => this.#connections.delete(socket));
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -40,6 +40,9 @@
 /** Fraction of the memory limit that answers of the backend server may use. */
 const ANSWER_MEMORY_SHARE = 0.2;
 
+/** Fraction of the memory limit that answers may use which their callers have not read. */
+const UNREAD_MEMORY_SHARE = 0.1;
+
 /**
  * Interval of the status messages to peers. A peer that cannot read the store receives a change
  * within this interval plus one round trip.
@@ -140,11 +143,13 @@
       clock,
       dialect,
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
+      maxUnreadBytes: settings.memoryBytes * UNREAD_MEMORY_SHARE,
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
       timeLimit: (head) => findTimeLimit(this.#controlPath.policy.lookup, head),
       isHeld: () => this.#pauseWatch.check(),
       isStopping: () => this.#plannedStop !== null,
       onUnreadRefusal: (code) => this.#metrics.entryAnswers.inc({ code }),
+      onConnectionClosed: (code) => this.#reportEvent(code, {}),
     });
     this.#controlPath = this.#createControlPath();
     this.#frameRouter = new FrameRouter({
--- a/test/sidecar/caller-disconnect.test.ts
+++ b/test/sidecar/caller-disconnect.test.ts
@@ -37,11 +37,13 @@
     clock: monotonicClock,
     dialect: httpDialect,
     maxBufferedBytes,
+    maxUnreadBytes: 1_000_000,
     handle,
     timeLimit: () => null,
     isHeld: () => isHeld,
     isStopping: () => false,
     onUnreadRefusal: () => {},
+    onConnectionClosed: () => {},
   });
   const port = await listenOn(listener.server, '127.0.0.1');
   context.after(() => {
--- a/test/sidecar/front-end.ts
+++ b/test/sidecar/front-end.ts
@@ -64,11 +64,13 @@
     clock: monotonicClock,
     dialect: httpDialect,
     maxBufferedBytes: 10_000_000,
+    maxUnreadBytes: 10_000_000,
     handle,
     timeLimit: () => null,
     isHeld: () => isHeld,
     isStopping: () => isStopping,
     onUnreadRefusal: () => {},
+    onConnectionClosed: () => {},
   });
   listener.setLimits(LIMITS);
   const port = await listenOn(listener.server, '127.0.0.1');
--- a/test/sidecar/misbehaving-clients.test.ts
+++ b/test/sidecar/misbehaving-clients.test.ts
@@ -77,6 +77,26 @@
   sockets.forEach((socket) => socket.destroy());
 }
 
+test('long answers that many callers do not read stay within the memory of the host', async (t) => {
+  // Guards against a node that keeps each answer until its caller has read it.
+  const answer = Buffer.alloc(4_000_000, 'x');
+  const node = await startNode(t, 241);
+  node.host.host.backend.handleRaw = ({ id, path }, socket) => {
+    if (path !== '/look/long') return false;
+    const head = ['HTTP/1.1 200 OK', `Attempt-Id: ${id}`, `Response-Signature: signed-${id}`];
+    socket.write(`${[...head, `Content-Length: ${answer.length}`].join('\r\n')}\r\n\r\n`);
+    socket.write(answer);
+    return true;
+  };
+  const sockets = await openCrowd(node, 60, async (socket, id) => {
+    await sendAll(socket, formatHead(id, 'GET /look/long', []));
+    await sleep(50);
+  });
+  await sleep(1000);
+  await checkNode(t, node);
+  closeAll(sockets);
+});
+
 test('bodies in very small chunks that stop short of their end stay within the memory of the host', async (t) => {
   // Guards against memory for each chunk that is many times the bytes that are counted.
   const node = await startNode(t, 242);
