--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -597,6 +597,12 @@
     message: 'a connection was closed whose caller had not read its answers for longest',
     hint: 'Answers that callers have not read may take a tenth of the memory; look for slow readers.',
   },
+  connectionsExceeded: {
+    number: 4224,
+    title: 'Connection closed, too many connections',
+    message: 'the connection that had been without a request for longest was closed',
+    hint: 'Callers may hold 0.6 of the descriptors of the process; look for unused connections.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/core/settings/sidecar-settings.ts
+++ b/src/core/settings/sidecar-settings.ts
@@ -28,5 +28,7 @@
   /** Time from the stop request until the process is killed. */
   readonly stopDeadlineMs: Milliseconds;
   readonly memoryBytes: number;
+  /** Descriptors that the process may open. */
+  readonly maxDescriptors: number;
   readonly retryBudget: RetryBound;
 }
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -65,6 +65,9 @@
 
   readonly #openedAt: Instant;
 
+  /** Instant of the last request that was read, or of the last answer. */
+  #usedAt: Instant;
+
   #nextNumber: RequestNumber = 0;
 
   #lastResponse: ServerResponse | null = null;
@@ -80,6 +83,7 @@
   constructor(options: CallerConnectionOptions) {
     this.#options = options;
     this.#openedAt = options.clock.now();
+    this.#usedAt = this.#openedAt;
     this.#pipeline = new Task({
       initial: emptyPipeline,
       decide: decidePipeline,
@@ -108,6 +112,11 @@
     return this.#unwritten.size;
   }
 
+  /** @returns since when no request of the connection has been in progress; null while one is */
+  get idleSince(): Instant | null {
+    return this.#open.size === 0 ? this.#usedAt : null;
+  }
+
   /** @returns time since the connection was opened */
   get ageMs(): Milliseconds {
     return this.#options.clock.now() - this.#openedAt;
@@ -166,6 +175,7 @@
     }
     const number = this.#nextNumber;
     this.#nextNumber += 1;
+    this.#usedAt = this.#options.clock.now();
     this.#open.set(number, { request, exchange: null, outcome });
     this.#send({ kind: 'request-read', number, bytes, isLast });
   }
@@ -230,6 +240,7 @@
     const open = this.#open.get(number);
     this.#open.delete(number);
     if (open === undefined || open.outcome === null) return;
+    this.#usedAt = this.#options.clock.now();
     const { response } = open.request;
     this.#lastResponse = response;
     if (!response.destroyed) this.#unwritten.add(response);
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -19,6 +19,8 @@
   readonly maxBufferedBytes: number;
   /** Limit of the bytes of answers that callers have not read. */
   readonly maxUnreadBytes: number;
+  /** Limit of the connections of callers. */
+  readonly maxConnections: number;
   readonly handle: (request: IncomingRequest, arrivedAt: Instant) => Exchange;
   /** @returns time from the head of a request to its deadline; null when it is not known */
   readonly timeLimit: (head: IncomingHead) => Milliseconds | null;
@@ -110,7 +112,8 @@
   }
 
   #open(socket: Socket): void {
-    const { clock, isHeld, isStopping, onConnectionClosed } = this.#options;
+    const { clock, isHeld, isStopping, maxConnections, onConnectionClosed } = this.#options;
+    if (this.#connections.size >= maxConnections) this.#closeLongestIdle();
     const connection = new CallerConnection({
       clock,
       socket,
@@ -123,6 +126,23 @@
     socket.once('close', () => this.#connections.delete(socket));
   }
 
+  /**
+   * Closes the connection on which no request has been in progress for the longest time. Without
+   * one, the node is over its limit until a request ends.
+   */
+  #closeLongestIdle(): void {
+    let longest: { readonly socket: Duplex; readonly since: Instant } | null = null;
+    for (const [socket, { idleSince }] of this.#connections) {
+      if (idleSince !== null && (longest === null || idleSince < longest.since)) {
+        longest = { socket, since: idleSince };
+      }
+    }
+    if (longest === null) return;
+    longest.socket.destroy();
+    this.#connections.delete(longest.socket);
+    this.#options.onConnectionClosed('connectionsExceeded');
+  }
+
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
     const arrivedAt = this.#options.clock.now();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -43,6 +43,9 @@
 /** Fraction of the memory limit that answers may use which their callers have not read. */
 const UNREAD_MEMORY_SHARE = 0.1;
 
+/** Fraction of the descriptors for callers; the others are for backend server, peers and store. */
+const CALLER_DESCRIPTOR_SHARE = 0.6;
+
 /**
  * Interval of the status messages to peers. A peer that cannot read the store receives a change
  * within this interval plus one round trip.
@@ -144,6 +147,7 @@
       dialect,
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
       maxUnreadBytes: settings.memoryBytes * UNREAD_MEMORY_SHARE,
+      maxConnections: Math.floor(settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE),
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
       timeLimit: (head) => findTimeLimit(this.#controlPath.policy.lookup, head),
       isHeld: () => this.#pauseWatch.check(),
--- a/test/sidecar/caller-disconnect.test.ts
+++ b/test/sidecar/caller-disconnect.test.ts
@@ -38,6 +38,7 @@
     dialect: httpDialect,
     maxBufferedBytes,
     maxUnreadBytes: 1_000_000,
+    maxConnections: 100,
     handle,
     timeLimit: () => null,
     isHeld: () => isHeld,
--- a/test/sidecar/fleet.ts
+++ b/test/sidecar/fleet.ts
@@ -216,6 +216,7 @@
       seeds: [],
       stopDeadlineMs: options.stopDeadlineMs ?? DEFAULT_STOP_DEADLINE_MS,
       memoryBytes: options.memoryBytes ?? DEFAULT_MEMORY_BYTES,
+      maxDescriptors: 4100,
       retryBudget: { ratio: 0.2, slack: 49, windowMs: 10_000 },
     };
     const platform = createPlatformConnection(settings.storeAddress);
--- a/test/sidecar/front-end.ts
+++ b/test/sidecar/front-end.ts
@@ -65,6 +65,7 @@
     dialect: httpDialect,
     maxBufferedBytes: 10_000_000,
     maxUnreadBytes: 10_000_000,
+    maxConnections: 100,
     handle,
     timeLimit: () => null,
     isHeld: () => isHeld,
--- a/test/sidecar/misbehaving-clients.test.ts
+++ b/test/sidecar/misbehaving-clients.test.ts
@@ -2,7 +2,14 @@
 import type { Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { formatHead, openUnread, readPeakMemory, sendAll, waitForEnd } from './crowds.js';
+import {
+  countDescriptors,
+  formatHead,
+  openUnread,
+  readPeakMemory,
+  sendAll,
+  waitForEnd,
+} from './crowds.js';
 import { openPlatformHost, type PlatformHost } from './platform-host.js';
 
 /** Memory of the host in these tests, which is that of the smallest hosts of the platform. */
@@ -123,3 +130,16 @@
   await checkNode(t, node);
   closeAll(sockets);
 });
+
+test('connections that many callers keep open leave descriptors for ordinary callers', async (t) => {
+  // Guards against a node that can accept no connection, or open none, for want of descriptors.
+  const node = await startNode(t, 244);
+  const sockets = await openCrowd(node, 300, (socket, id) =>
+    sendAll(socket, `${formatHead(id, 'POST /order/1', ['Transfer-Encoding: chunked'])}1\r\nx\r\n`),
+  );
+  const descriptors = await countDescriptors(node.pid);
+  t.diagnostic(`${descriptors} open descriptors`);
+  assert.ok(descriptors < MAX_FDS, `${descriptors} open descriptors`);
+  await checkNode(t, node);
+  closeAll(sockets);
+});
