End bodies for which no route sets a time limit

A body for an unknown path held its memory for as long as its caller kept the connection open, and bodies of ordinary callers waited for it. It now ends with 408 at the idle timeout. The test timed out on the code before.

--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -153,7 +153,9 @@
       const unread = { head, response, body: EMPTY_BODY, arrivedAt, release: () => {} };
       connection?.refuse(unread, code);
     };
-    const timeLimit = (): Milliseconds | null => this.#options.timeLimit(head);
+    // A body for which no route sets a time limit ends with the time of an idle connection.
+    const timeLimit = (): Milliseconds | null =>
+      this.#options.timeLimit(head) ?? this.#limits?.idleTimeoutMs ?? null;
     this.#bodies.read(request, { maxBytes, timeLimit }, (result) => {
       switch (result.kind) {
         case 'complete': {
