Refuse bodies in very small chunks where others are held back

A crowd that sends bodies in large and in very small chunks, and does not read long answers, took 403 MB of a host with 250 MB although each limit held. Node.js reads up to 64 KiB ahead of a body that is paused and keeps a buffer for each of its chunks, which nobody counts.

A body whose chunks have a mean size below 256 bytes is not paused but refused with 503, as not run; where there is memory it is served as before. The unit test fails without the change.

--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -33,12 +33,26 @@
 
 const EMPTY_BODY = new Uint8Array();
 
+/**
+ * Mean size of the chunks from which a body can be held back. Node.js reads ahead up to 64 KiB of a
+ * body that is paused, and keeps a buffer of a hundred bytes or more for each of its chunks.
+ */
+const MIN_PAUSED_CHUNK_BYTES = 256;
+
+/** A body that is being read. */
+interface BodyReading {
+  readonly request: IncomingMessage;
+  /** @returns mean size of the chunks so far, in bytes */
+  readonly meanChunkBytes: () => number;
+  /** Refuses the request. */
+  readonly refuse: () => void;
+}
+
 /** Reads the bodies of requests into memory, of which they share a limited part. */
 export class RequestBodies {
   readonly #admission: Task<BodyMemory, BodyMessage, BodyEffect>;
 
-  /** Requests whose bodies are being read. */
-  readonly #reading = new Map<BodyNumber, IncomingMessage>();
+  readonly #reading = new Map<BodyNumber, BodyReading>();
 
   #nextNumber: BodyNumber = 1;
 
@@ -94,11 +108,11 @@
   ): void {
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    this.#reading.set(number, request);
     const declaredLength = request.headers['content-length'];
     const declaredBytes = declaredLength === undefined ? null : Number(declaredLength);
     const buffer = new BodyBuffer(declaredBytes);
     let countedBytes = 0;
+    let chunks = 0;
     let timer: NodeJS.Timeout | null = null;
     const release = (): void => this.#admission.send({ kind: 'released', number });
     /** Ends the reading once, and tells whether it was still going on. */
@@ -114,6 +128,11 @@
       request.resume();
       onResult(result);
     };
+    this.#reading.set(number, {
+      request,
+      meanChunkBytes: () => buffer.length / chunks,
+      refuse: () => giveUp({ kind: 'late', isHeldBack: true }),
+    });
     const timeoutMs = timeLimit();
     if (timeoutMs !== null) {
       timer = setTimeout(() => {
@@ -124,6 +143,7 @@
     request.on('data', (chunk: Buffer) => {
       if (!this.#reading.has(number)) return;
       buffer.add(chunk);
+      chunks += 1;
       if (buffer.length > maxBytes) {
         giveUp({ kind: 'too-large' });
         return;
@@ -145,13 +165,15 @@
   }
 
   #perform({ kind, number }: BodyEffect): void {
-    const request = this.#reading.get(number);
+    const reading = this.#reading.get(number);
+    if (reading === undefined) return;
     switch (kind) {
       case 'pause':
-        request?.pause();
+        if (reading.meanChunkBytes() < MIN_PAUSED_CHUNK_BYTES) reading.refuse();
+        else reading.request.pause();
         break;
       case 'resume':
-        request?.resume();
+        reading.request.resume();
         break;
     }
   }
