Count unread answers within the memory for answers

Unread answers now leave less room for further ones, so that both take 0.2 at most. The unit test uses the new form of the limit, so it was not run on the code before.

--- a/src/sidecar/answer-buffer.ts
+++ b/src/sidecar/answer-buffer.ts
@@ -9,16 +9,16 @@
  * without end, so the answer that holds the most is given up when there are too many.
  */
 export class AnswerBuffer {
-  readonly #maxBytes: number;
+  readonly #maxBytes: () => number;
 
   readonly #held = new Map<AnswerHold, number>();
 
   #heldBytes = 0;
 
   /**
-   * @param maxBytes - limit of the bytes of all answers together
+   * @param maxBytes - returns the limit of the bytes of all answers together
    */
-  constructor(maxBytes: number) {
+  constructor(maxBytes: () => number) {
     this.#maxBytes = maxBytes;
   }
 
@@ -36,7 +36,7 @@
   add(hold: AnswerHold, bytes: number): void {
     this.#held.set(hold, (this.#held.get(hold) ?? 0) + bytes);
     this.#heldBytes += bytes;
-    if (this.#heldBytes <= this.#maxBytes) return;
+    if (this.#heldBytes <= this.#maxBytes()) return;
     const [largest] = [...this.#held].reduce((most, next) => (next[1] > most[1] ? next : most));
     this.release(largest);
     largest.evict();
--- a/src/sidecar/backend-sender.ts
+++ b/src/sidecar/backend-sender.ts
@@ -11,8 +11,8 @@
   readonly url: string;
   readonly clock: Clock;
   readonly dialect: Dialect;
-  /** Limit of the bytes of all answers that are being received. */
-  readonly maxBufferedBytes: number;
+  /** @returns limit of the bytes of all answers that are being received */
+  readonly maxBufferedBytes: () => number;
 }
 
 /** A call that was handed to a connection to the backend server. */
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -38,7 +38,7 @@
   readonly log: Log;
   readonly dialect: Dialect;
   /** Limit of the bytes of all answers that are being received. */
-  readonly maxBufferedBytes: number;
+  readonly maxBufferedBytes: () => number;
   /** Looks for a pause before an event that may start a call; `hold` is called after one. */
   readonly checkPause: () => void;
   readonly processorWatch: ProcessorWatch;
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -106,6 +106,11 @@
     return [...this.#connections.values()].reduce((sum, each) => sum + each.unwrittenAnswers, 0);
   }
 
+  /** @returns the bytes of answers that callers have not read */
+  get unreadBytes(): number {
+    return this.#unreadAnswers.unreadBytes;
+  }
+
   /** Handles the held requests whose callers are still there. */
   release(): void {
     this.#connections.forEach((connection) => connection.release());
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -37,7 +37,7 @@
 /** Fraction of the memory limit that buffered request bodies may use. */
 const BODY_MEMORY_SHARE = 0.3;
 
-/** Fraction of the memory limit that answers of the backend server may use. */
+/** Fraction of the memory limit that answers may use, those that callers have not read included. */
 const ANSWER_MEMORY_SHARE = 0.2;
 
 /** Fraction of the memory limit that answers may use which their callers have not read. */
@@ -301,7 +301,8 @@
       clock,
       log: this.#log,
       dialect,
-      maxBufferedBytes: this.#settings.memoryBytes * ANSWER_MEMORY_SHARE,
+      maxBufferedBytes: () =>
+        this.#settings.memoryBytes * ANSWER_MEMORY_SHARE - this.#requestListener.unreadBytes,
       checkPause: () => this.#pauseWatch.check(),
       processorWatch: this.#processorWatch,
       downstreamPressure: () => this.#fleet.loads.downstreamPressure,
--- a/test/sidecar/cut-answer.test.ts
+++ b/test/sidecar/cut-answer.test.ts
@@ -53,7 +53,7 @@
     url: `http://127.0.0.1:${port}`,
     clock: monotonicClock,
     dialect: httpDialect,
-    maxBufferedBytes: 1_000_000,
+    maxBufferedBytes: () => 1_000_000,
   });
   context.after(async () => {
     await sender.close();
--- a/test/sidecar/endless-answer.test.ts
+++ b/test/sidecar/endless-answer.test.ts
@@ -129,7 +129,7 @@
 
 test('the largest answer is given up when the answers hold too many bytes', () => {
   // Guards against endless answers that exhaust the memory of the node together.
-  const buffer = new AnswerBuffer(100);
+  const buffer = new AnswerBuffer(() => 100);
   const [small, large, other] = [new RecordingHold(), new RecordingHold(), new RecordingHold()];
   buffer.add(small, 20);
   buffer.add(large, 30);
@@ -142,3 +142,16 @@
   buffer.release(large);
   assert.equal(buffer.heldBytes, 30);
 });
+
+test('answers that callers have not read leave less room for further ones', () => {
+  // Guards against two limits that hold alone, but whose sum exceeds the memory for answers.
+  let unreadBytes = 0;
+  const buffer = new AnswerBuffer(() => 100 - unreadBytes);
+  const evicted: string[] = [];
+  const hold = { evict: () => evicted.push('answer') };
+  buffer.add(hold, 60);
+  assert.deepEqual(evicted, []);
+  unreadBytes = 50;
+  buffer.add(hold, 1);
+  assert.deepEqual(evicted, ['answer']);
+});
--- a/test/sidecar/gate.ts
+++ b/test/sidecar/gate.ts
@@ -56,7 +56,7 @@
     clock: monotonicClock,
     log: { write: () => {} },
     dialect: httpDialect,
-    maxBufferedBytes: 1_000_000,
+    maxBufferedBytes: () => 1_000_000,
     checkPause: () => {},
     processorWatch: new ProcessorWatch(monotonicClock),
     downstreamPressure: () => 0,
