Keep long answers for single callers that read slowly

The limit on unread answers of a tenth of the memory disconnected a caller of a longer answer as soon as another caller got one: 3.9 of 40 MB arrived. What the gate receives and what callers have not read now have the same limit, a fifth of the memory, and at least half of it is left for the gate, so that one unread answer does not end the others. A body of a few small chunks is held back and not refused.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -595,7 +595,7 @@
     number: 4223,
     title: 'Connection closed, answer not read',
     message: 'a connection was closed whose caller had not read its answers for longest',
-    hint: 'Answers that callers have not read may take a tenth of the memory; look for slow readers.',
+    hint: 'Answers that callers have not read may take a fifth of the memory; look for slow readers.',
   },
   connectionsExceeded: {
     number: 4224,
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -112,7 +112,7 @@
     return this.#unwritten.size;
   }
 
-  /** @returns since when no request of the connection has been in progress; null while one is */
+  /** @returns since when no complete request has been in progress; null while one is */
   get idleSince(): Instant | null {
     return this.#open.size === 0 ? this.#usedAt : null;
   }
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -37,7 +37,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly dialect: Dialect;
-  /** Limit of the bytes of all answers that are being received. */
+  /** @returns limit of the bytes of all answers that are being received */
   readonly maxBufferedBytes: () => number;
   /** Looks for a pause before an event that may start a call; `hold` is called after one. */
   readonly checkPause: () => void;
--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -39,11 +39,14 @@
  */
 const MIN_PAUSED_CHUNK_BYTES = 256;
 
+/** A body of fewer chunks is held back in any case; it may just be a small one. */
+const MIN_REFUSED_CHUNKS = 16;
+
 /** A body that is being read. */
 interface BodyReading {
   readonly request: IncomingMessage;
-  /** @returns mean size of the chunks so far, in bytes */
-  readonly meanChunkBytes: () => number;
+  /** @returns whether the body arrives in very small chunks */
+  readonly hasSmallChunks: () => boolean;
   /** Refuses the request. */
   readonly refuse: () => void;
 }
@@ -130,7 +133,8 @@
     };
     this.#reading.set(number, {
       request,
-      meanChunkBytes: () => buffer.length / chunks,
+      hasSmallChunks: () =>
+        chunks >= MIN_REFUSED_CHUNKS && buffer.length < chunks * MIN_PAUSED_CHUNK_BYTES,
       refuse: () => giveUp({ kind: 'late', isHeldBack: true }),
     });
     const timeoutMs = timeLimit();
@@ -169,7 +173,7 @@
     if (reading === undefined) return;
     switch (kind) {
       case 'pause':
-        if (reading.meanChunkBytes() < MIN_PAUSED_CHUNK_BYTES) reading.refuse();
+        if (reading.hasSmallChunks()) reading.refuse();
         else reading.request.pause();
         break;
       case 'resume':
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -132,8 +132,8 @@
   }
 
   /**
-   * Closes the connection on which no request has been in progress for the longest time. Without
-   * one, the node is over its limit until a request ends.
+   * Closes the connection that has been without a complete request for longest; one whose body is
+   * still being read counts as such. Without one, the node is over its limit until a request ends.
    */
   #closeLongestIdle(): void {
     let longest: { readonly socket: Duplex; readonly since: Instant } | null = null;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -37,11 +37,14 @@
 /** Fraction of the memory limit that buffered request bodies may use. */
 const BODY_MEMORY_SHARE = 0.3;
 
-/** Fraction of the memory limit that answers may use, those that callers have not read included. */
+/**
+ * Fraction of the memory limit that answers of the backend server may use, and answers that callers
+ * have not read: the largest one that is received can also be kept until it is read.
+ */
 const ANSWER_MEMORY_SHARE = 0.2;
 
-/** Fraction of the memory limit that answers may use which their callers have not read. */
-const UNREAD_MEMORY_SHARE = 0.1;
+/** Part of it that is left for the backend server when callers do not read. */
+const MIN_ANSWER_MEMORY_SHARE = 0.1;
 
 /** Fraction of the descriptors for callers; the others are for backend server, peers and store. */
 const CALLER_DESCRIPTOR_SHARE = 0.6;
@@ -146,7 +149,7 @@
       clock,
       dialect,
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
-      maxUnreadBytes: settings.memoryBytes * UNREAD_MEMORY_SHARE,
+      maxUnreadBytes: settings.memoryBytes * ANSWER_MEMORY_SHARE,
       maxConnections: Math.floor(settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE),
       handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
       timeLimit: (head) => findTimeLimit(this.#controlPath.policy.lookup, head),
@@ -294,6 +297,13 @@
     if (kind === 'suspended') this.#gate.recheck('the host was suspended');
   }
 
+  /** Bytes that answers of the backend server may use beside those that callers have not read. */
+  get #answerMemoryBytes(): number {
+    const { memoryBytes } = this.#settings;
+    const leftBytes = memoryBytes * ANSWER_MEMORY_SHARE - this.#requestListener.unreadBytes;
+    return Math.max(leftBytes, memoryBytes * MIN_ANSWER_MEMORY_SHARE);
+  }
+
   #createGate(): DispatchTask {
     const { clock, dialect } = this.#dependencies;
     return new DispatchTask({
@@ -301,8 +311,7 @@
       clock,
       log: this.#log,
       dialect,
-      maxBufferedBytes: () =>
-        this.#settings.memoryBytes * ANSWER_MEMORY_SHARE - this.#requestListener.unreadBytes,
+      maxBufferedBytes: () => this.#answerMemoryBytes,
       checkPause: () => this.#pauseWatch.check(),
       processorWatch: this.#processorWatch,
       downstreamPressure: () => this.#fleet.loads.downstreamPressure,
