Log an error that ends a node before its log is open

The error came 1 s after the start of the process, while the modules were still being loaded, and the handler was added only when the log was opened.

Until then a handler in main.ts writes the error as plain text, which explain skips. The test runs with an error after 20 ms too, which fails on the code before.

--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -48,6 +48,8 @@
 
 /** Logs an error that ends the process, since standard error is often not kept. */
 function logFailure(log: ReturnType<typeof openLog>): void {
+  // From here on the log takes the place of plain text.
+  process.removeAllListeners('uncaughtExceptionMonitor');
   process.on('uncaughtExceptionMonitor', ({ message, stack }) => {
     const details = { reason: stack ?? message };
     log.write({ kind: 'event', code: 'processFailed', details });
--- a/src/main.ts
+++ b/src/main.ts
@@ -7,6 +7,13 @@
 // A signal may arrive while the other modules are loaded, and would end the process by default.
 if (isNode) signals.receive(args.includes('--platform') ? 'stop-and-reload' : 'stop');
 
+// Until the log of a node is open, an error is written as it is: standard error is often not kept.
+if (isNode) {
+  process.on('uncaughtExceptionMonitor', ({ message, stack }) => {
+    process.stdout.write(`[4222] ${stack ?? message}\n`);
+  });
+}
+
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
   // A reader such as `head` may close the pipe early, and a node goes on without its log.
   if (error.code !== 'EPIPE' && !isNode) {
--- a/test/sidecar/start.test.ts
+++ b/test/sidecar/start.test.ts
@@ -99,20 +99,25 @@
   assert.deepEqual(exits, []);
 });
 
-test('a node that an error ends leaves the error in its log', async (t) => {
-  // Guards against a process that ends without a trace where only its log is kept.
-  const failure = "setTimeout(() => { throw new Error('unforeseen'); }, 1000)";
-  const directory = await mkdtemp(join(tmpdir(), 'almondhoist-log-'));
-  t.after(() => rm(directory, { recursive: true }));
-  const file = await open(join(directory, 'log'), 'w+');
-  t.after(() => file.close());
-  const { host } = await openPlatformHost(t, {
-    subnet: 243,
-    logFile: file.fd,
-    nodeOptions: ['--import', `data:text/javascript,${encodeURIComponent(failure)}`],
+/** Times after the start of the process, before its log is open and after it in an idle system. */
+const FAILURE_DELAYS_MS: readonly number[] = [20, 1000];
+
+FAILURE_DELAYS_MS.forEach((delayMs) => {
+  test(`a node that an error ends ${delayMs} ms after its start leaves the error in its log`, async (t) => {
+    // Guards against a process that ends without a trace where only its log is kept.
+    const failure = `setTimeout(() => { throw new Error('unforeseen'); }, ${delayMs})`;
+    const directory = await mkdtemp(join(tmpdir(), 'almondhoist-log-'));
+    t.after(() => rm(directory, { recursive: true }));
+    const file = await open(join(directory, 'log'), 'w+');
+    t.after(() => file.close());
+    const { host } = await openPlatformHost(t, {
+      subnet: 243,
+      logFile: file.fd,
+      nodeOptions: ['--import', `data:text/javascript,${encodeURIComponent(failure)}`],
+    });
+    host.startNode();
+    await host.waitForExit();
+    const log = await readFile(join(directory, 'log'), 'utf8');
+    assert.match(log, /\[4222\].*unforeseen/);
   });
-  host.startNode();
-  await host.waitForExit();
-  const log = await readFile(join(directory, 'log'), 'utf8');
-  assert.match(log, /\[4222\].*unforeseen/);
 });
