--- a/src/cli/serve-on-platform.ts
+++ b/src/cli/serve-on-platform.ts
@@ -12,6 +12,7 @@
 import { openLog } from '../runtime/roarr-log.js';
 import { Sidecar } from '../sidecar/sidecar.js';
 import { exitCodes, type ExitCode } from './exit-code.js';
+import { printFailure } from './print-failure.js';
 import type { ProcessSignals } from './process-signals.js';
 import { printFaults, type Terminal } from './terminal.js';
 
@@ -48,8 +49,7 @@
 
 /** Logs an error that ends the process, since standard error is often not kept. */
 function logFailure(log: ReturnType<typeof openLog>): void {
-  // From here on the log takes the place of plain text.
-  process.removeAllListeners('uncaughtExceptionMonitor');
+  process.off('uncaughtExceptionMonitor', printFailure);
   process.on('uncaughtExceptionMonitor', ({ message, stack }) => {
     const details = { reason: stack ?? message };
     log.write({ kind: 'event', code: 'processFailed', details });
--- a/src/core/exchange/body-admission.ts
+++ b/src/core/exchange/body-admission.ts
@@ -107,7 +107,7 @@
 function isSafe({ limits, bodies, grantedBytes }: BodyMemory): boolean {
   let freeBytes = capacity(limits) - grantedBytes;
   if (freeBytes >= limits.bodyBytes) return true;
-  // Bodies that lack only their end hold their memory for as long as their callers like.
+  // A body that lacks only its end may never release its memory.
   if (freeBytes < 0) return false;
   const needs = [...bodies.values()]
     .filter((body) => body.grantedBytes > 0)
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,3 +1,4 @@
+import { printFailure } from './cli/print-failure.js';
 import { ProcessSignals } from './cli/process-signals.js';
 
 const args = process.argv.slice(2);
@@ -7,12 +8,8 @@
 // A signal may arrive while the other modules are loaded, and would end the process by default.
 if (isNode) signals.receive(args.includes('--platform') ? 'stop-and-reload' : 'stop');
 
-// Until the log of a node is open, an error is written as it is: standard error is often not kept.
-if (isNode) {
-  process.on('uncaughtExceptionMonitor', ({ message, stack }) => {
-    process.stdout.write(`[4222] ${stack ?? message}\n`);
-  });
-}
+// Standard error is often not kept.
+if (isNode) process.on('uncaughtExceptionMonitor', printFailure);
 
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
   // A reader such as `head` may close the pipe early, and a node goes on without its log.
--- a/src/sidecar/answer-buffer.ts
+++ b/src/sidecar/answer-buffer.ts
@@ -1,25 +1,37 @@
-/** An answer whose bytes are held in memory until it is whole. */
+/** Holder of answers whose bytes are in memory, such as an exchange or a connection. */
 export interface AnswerHold {
-  /** Gives up the answer because all answers together hold too many bytes. */
+  /** Gives up its answers because all answers together hold too many bytes. */
   readonly evict: () => void;
 }
 
-/**
- * Counts the bytes of the answers that are being received. A faulty backend server may send bytes
- * without end, so the answer that holds the most is given up when there are too many.
- */
+/** Holder that gives up its answers first. */
+export type EvictionOrder =
+  /** The one with the most bytes: a faulty backend server may send bytes without end. */
+  | 'largest'
+  /** The one that has held answers for longest, unless it is the only one. */
+  | 'oldest';
+
+/** Options of a buffer. */
+export interface AnswerBufferOptions {
+  /** @returns limit of the bytes of all answers together */
+  readonly maxBytes: () => number;
+  readonly evicts: EvictionOrder;
+}
+
+/** Counts the bytes of answers in memory, and has some given up when there are too many. */
 export class AnswerBuffer {
-  readonly #maxBytes: () => number;
+  readonly #options: AnswerBufferOptions;
 
+  /** Bytes by holder, in the order in which each began to hold answers. */
   readonly #held = new Map<AnswerHold, number>();
 
   #heldBytes = 0;
 
   /**
-   * @param maxBytes - returns the limit of the bytes of all answers together
+   * @param options - the limit, and who gives up answers beyond it
    */
-  constructor(maxBytes: () => number) {
-    this.#maxBytes = maxBytes;
+  constructor(options: AnswerBufferOptions) {
+    this.#options = options;
   }
 
   /** @returns the bytes of all answers together */
@@ -28,27 +40,56 @@
   }
 
   /**
-   * Counts received bytes of an answer.
+   * Counts bytes of an answer.
    *
-   * @param hold - the answer
-   * @param bytes - number of bytes received
+   * @param hold - holder of the answer
+   * @param bytes - number of bytes
    */
   add(hold: AnswerHold, bytes: number): void {
+    if (bytes === 0) return;
     this.#held.set(hold, (this.#held.get(hold) ?? 0) + bytes);
     this.#heldBytes += bytes;
-    if (this.#heldBytes <= this.#maxBytes()) return;
-    const [largest] = [...this.#held].reduce((most, next) => (next[1] > most[1] ? next : most));
-    this.release(largest);
-    largest.evict();
+    while (this.#heldBytes > this.#options.maxBytes()) {
+      const victim = this.#chooseVictim();
+      if (victim === undefined) return;
+      this.release(victim);
+      victim.evict();
+    }
+  }
+
+  /**
+   * Removes bytes of a holder that keeps others.
+   *
+   * @param hold - the holder
+   * @param bytes - number of bytes
+   */
+  remove(hold: AnswerHold, bytes: number): void {
+    const before = this.#held.get(hold);
+    if (before === undefined) return;
+    if (before <= bytes) {
+      this.release(hold);
+      return;
+    }
+    this.#held.set(hold, before - bytes);
+    this.#heldBytes -= bytes;
   }
 
   /**
-   * Releases the bytes of an answer that has ended.
+   * Releases all bytes of a holder.
    *
-   * @param hold - the answer
+   * @param hold - the holder
    */
   release(hold: AnswerHold): void {
     this.#heldBytes -= this.#held.get(hold) ?? 0;
     this.#held.delete(hold);
   }
+
+  #chooseVictim(): AnswerHold | undefined {
+    switch (this.#options.evicts) {
+      case 'largest':
+        return [...this.#held].reduce((most, next) => (next[1] > most[1] ? next : most))[0];
+      case 'oldest':
+        return this.#held.size > 1 ? this.#held.keys().next().value : undefined;
+    }
+  }
 }
--- a/src/sidecar/backend-sender.ts
+++ b/src/sidecar/backend-sender.ts
@@ -38,7 +38,10 @@
   constructor(options: BackendSenderOptions) {
     this.#options = options;
     this.#connectionPool = new BackendConnectionPool(options);
-    this.#answerBuffer = new AnswerBuffer(options.maxBufferedBytes);
+    this.#answerBuffer = new AnswerBuffer({
+      maxBytes: options.maxBufferedBytes,
+      evicts: 'largest',
+    });
   }
 
   /**
--- a/src/sidecar/body-buffer.ts
+++ b/src/sidecar/body-buffer.ts
@@ -27,6 +27,8 @@
 
   #length = 0;
 
+  #chunks = 0;
+
   /**
    * @param declaredBytes - length that the request declares, or null when it declares none
    */
@@ -44,6 +46,11 @@
     return this.#whole === null ? this.#blockBytes : this.#length;
   }
 
+  /** @returns the number of chunks received so far */
+  get chunks(): number {
+    return this.#chunks;
+  }
+
   /**
    * Adds a chunk. The HTTP parser ensures that a body is no longer than its declared length.
    *
@@ -55,6 +62,7 @@
     else if (this.#length === 0 && chunk.length === this.#declaredBytes) this.#addBlock(chunk);
     else this.#copy(chunk);
     this.#length += chunk.length;
+    this.#chunks += 1;
     this.#reserve();
   }
 
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -16,9 +16,9 @@
 import type { MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
+import type { AnswerBuffer, AnswerHold } from './answer-buffer.js';
 import { refuseUnread, writeAnswer } from './answer-writer.js';
 import type { Exchange } from './entry-task.js';
-import type { AnswerReader, UnreadAnswers } from './unread-answers.js';
 
 /** A request that has been read completely. */
 export interface CompleteRequest {
@@ -37,7 +37,7 @@
   readonly conditions: () => PipelineConditions;
   readonly handle: (request: CompleteRequest) => Exchange;
   /** Answers that the callers of all connections have not read. */
-  readonly unreadAnswers: UnreadAnswers;
+  readonly unreadAnswers: AnswerBuffer;
   /** Called when the connection is closed because its caller does not read its answers. */
   readonly onUnread: () => void;
 }
@@ -56,7 +56,7 @@
 }
 
 /** Owns one connection of a caller and the requests on it that have not been answered. */
-export class CallerConnection implements AnswerReader {
+export class CallerConnection implements AnswerHold {
   readonly #options: CallerConnectionOptions;
 
   readonly #pipeline: Task<CallerPipeline, PipelineMessage, PipelineEffect>;
@@ -65,7 +65,7 @@
 
   readonly #openedAt: Instant;
 
-  /** Instant of the last request that was read, or of the last answer. */
+  /** Instant of the last answer, or of the start before the first one. */
   #usedAt: Instant;
 
   #nextNumber: RequestNumber = 0;
@@ -95,7 +95,7 @@
     socket.once('end', () => this.#cancelAll());
     socket.once('close', () => {
       this.#cancelAll();
-      options.unreadAnswers.removeAll(this);
+      options.unreadAnswers.release(this);
     });
     // The HTTP server calls this behind a last answer. Closing with unread bytes would reset the
     // connection, and the caller might lose that answer.
@@ -158,8 +158,8 @@
     this.#send({ kind: 'released' });
   }
 
-  /** {@inheritDoc AnswerReader.closeUnread} */
-  closeUnread(): void {
+  /** Closes the connection, whose caller takes too long to read its answers. */
+  evict(): void {
     this.#options.onUnread();
     this.#options.socket.destroy();
   }
@@ -175,7 +175,6 @@
     }
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    this.#usedAt = this.#options.clock.now();
     this.#open.set(number, { request, exchange: null, outcome });
     this.#send({ kind: 'request-read', number, bytes, isLast });
   }
--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -35,7 +35,8 @@
 
 /**
  * Mean size of the chunks from which a body can be held back. Node.js reads ahead up to 64 KiB of a
- * body that is paused, and keeps a buffer of a hundred bytes or more for each of its chunks.
+ * body that is paused, and keeps a buffer of a hundred bytes or more for each of its chunks; from
+ * this size on these take less than the bytes themselves.
  */
 const MIN_PAUSED_CHUNK_BYTES = 256;
 
@@ -45,12 +46,15 @@
 /** A body that is being read. */
 interface BodyReading {
   readonly request: IncomingMessage;
-  /** @returns whether the body arrives in very small chunks */
-  readonly hasSmallChunks: () => boolean;
+  readonly buffer: BodyBuffer;
   /** Refuses the request. */
   readonly refuse: () => void;
 }
 
+function hasSmallChunks({ length, chunks }: BodyBuffer): boolean {
+  return chunks >= MIN_REFUSED_CHUNKS && length < chunks * MIN_PAUSED_CHUNK_BYTES;
+}
+
 /** Reads the bodies of requests into memory, of which they share a limited part. */
 export class RequestBodies {
   readonly #admission: Task<BodyMemory, BodyMessage, BodyEffect>;
@@ -115,7 +119,6 @@
     const declaredBytes = declaredLength === undefined ? null : Number(declaredLength);
     const buffer = new BodyBuffer(declaredBytes);
     let countedBytes = 0;
-    let chunks = 0;
     let timer: NodeJS.Timeout | null = null;
     const release = (): void => this.#admission.send({ kind: 'released', number });
     /** Ends the reading once, and tells whether it was still going on. */
@@ -133,8 +136,7 @@
     };
     this.#reading.set(number, {
       request,
-      hasSmallChunks: () =>
-        chunks >= MIN_REFUSED_CHUNKS && buffer.length < chunks * MIN_PAUSED_CHUNK_BYTES,
+      buffer,
       refuse: () => giveUp({ kind: 'late', isHeldBack: true }),
     });
     const timeoutMs = timeLimit();
@@ -147,7 +149,6 @@
     request.on('data', (chunk: Buffer) => {
       if (!this.#reading.has(number)) return;
       buffer.add(chunk);
-      chunks += 1;
       if (buffer.length > maxBytes) {
         giveUp({ kind: 'too-large' });
         return;
@@ -173,7 +174,7 @@
     if (reading === undefined) return;
     switch (kind) {
       case 'pause':
-        if (reading.hasSmallChunks()) reading.refuse();
+        if (hasSmallChunks(reading.buffer)) reading.refuse();
         else reading.request.pause();
         break;
       case 'resume':
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -6,10 +6,10 @@
 import type { IncomingHead, IncomingRequest } from '../core/exchange/incoming-request.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { CallerLimits } from '../core/policy/policy.js';
+import { AnswerBuffer } from './answer-buffer.js';
 import { CallerConnection, type CompleteRequest } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
 import { RequestBodies } from './request-bodies.js';
-import { UnreadAnswers } from './unread-answers.js';
 
 /** Options of the listener. */
 export interface RequestListenerOptions {
@@ -61,7 +61,7 @@
 
   readonly #connections = new Map<Duplex, CallerConnection>();
 
-  readonly #unreadAnswers: UnreadAnswers;
+  readonly #unreadAnswers: AnswerBuffer;
 
   #limits: CallerLimits | null = null;
 
@@ -73,7 +73,7 @@
     const { maxBufferedBytes, maxUnreadBytes, clock } = options;
     const limits = { totalBytes: maxBufferedBytes, bodyBytes: INITIAL_MAX_BODY_BYTES };
     this.#bodies = new RequestBodies(limits, clock);
-    this.#unreadAnswers = new UnreadAnswers(maxUnreadBytes);
+    this.#unreadAnswers = new AnswerBuffer({ maxBytes: () => maxUnreadBytes, evicts: 'oldest' });
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -108,7 +108,7 @@
 
   /** @returns the bytes of answers that callers have not read */
   get unreadBytes(): number {
-    return this.#unreadAnswers.unreadBytes;
+    return this.#unreadAnswers.heldBytes;
   }
 
   /** Handles the held requests whose callers are still there. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -43,7 +43,7 @@
  */
 const ANSWER_MEMORY_SHARE = 0.2;
 
-/** Part of it that is left for the backend server when callers do not read. */
+/** Fraction of the memory limit that is left for answers of the backend server in any case. */
 const MIN_ANSWER_MEMORY_SHARE = 0.1;
 
 /** Fraction of the descriptors for callers; the others are for backend server, peers and store. */
--- a/test/sidecar/endless-answer-memory.test.ts
+++ b/test/sidecar/endless-answer-memory.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test, type TestContext } from 'node:test';
@@ -7,8 +7,10 @@
 import { Agent, request } from 'undici';
 import { HostProcess, listenOn } from '../../standin/host-process.js';
 import { PlatformStore } from '../../standin/platform-store.js';
+import { readPeakMemory } from './crowds.js';
 import { ENDLESS_ANSWERS, writeEndlessly } from './endless-answers.js';
 import { HOST, KEY, POLICY } from './fleet.js';
+import { DEPLOY_NODE_OPTIONS } from './platform-host.js';
 
 const SUBNET = `127.${20 + (process.pid % 200)}.251`;
 const CALLER_PORT = 7401;
@@ -23,15 +25,7 @@
 const MAX_LAST_CALLS = 20;
 const LAST_CALL_INTERVAL_MS = 100;
 
-/** As in the deploy file, whose heap limit keeps the process below the limit of the platform. */
-const PROGRAM = [
-  process.execPath,
-  '--max-old-space-size=192',
-  '--max-semi-space-size=1',
-  '--no-wasm-tier-up',
-  '--no-wasm-dynamic-tiering',
-  'dist/js/src/main.js',
-] as const;
+const PROGRAM = [process.execPath, ...DEPLOY_NODE_OPTIONS, 'dist/js/src/main.js'] as const;
 
 /** Starts a node in a process of its own, beside a stand-in of its backend server. */
 async function startHost(context: TestContext, agent: Agent): Promise<HostProcess> {
@@ -64,12 +58,6 @@
   return host;
 }
 
-/** Reads the largest resident memory that a process has had, in bytes. */
-async function readPeakMemory(pid: number): Promise<number> {
-  const status = await readFile(`/proc/${pid}/status`, 'utf8');
-  return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024;
-}
-
 for (const part of ['list of headers', 'header value', 'chunked body', 'body without a length']) {
   test(`a node that gets answers with an endless ${part} keeps its memory and goes on to serve`, async (t) => {
     // Guards against a node that keeps all bytes of faulty answers, runs out of memory and takes the
--- a/test/sidecar/endless-answer.test.ts
+++ b/test/sidecar/endless-answer.test.ts
@@ -129,7 +129,7 @@
 
 test('the largest answer is given up when the answers hold too many bytes', () => {
   // Guards against endless answers that exhaust the memory of the node together.
-  const buffer = new AnswerBuffer(() => 100);
+  const buffer = new AnswerBuffer({ maxBytes: () => 100, evicts: 'largest' });
   const [small, large, other] = [new RecordingHold(), new RecordingHold(), new RecordingHold()];
   buffer.add(small, 20);
   buffer.add(large, 30);
@@ -146,7 +146,7 @@
 test('answers that callers have not read leave less room for further ones', () => {
   // Guards against two limits that hold alone, but whose sum exceeds the memory for answers.
   let unreadBytes = 0;
-  const buffer = new AnswerBuffer(() => 100 - unreadBytes);
+  const buffer = new AnswerBuffer({ maxBytes: () => 100 - unreadBytes, evicts: 'largest' });
   const evicted: string[] = [];
   const hold = { evict: () => evicted.push('answer') };
   buffer.add(hold, 60);
--- a/test/sidecar/misbehaving-clients.test.ts
+++ b/test/sidecar/misbehaving-clients.test.ts
@@ -11,7 +11,7 @@
   sendAll,
   waitForEnd,
 } from './crowds.js';
-import { openPlatformHost, type PlatformHost } from './platform-host.js';
+import { DEPLOY_NODE_OPTIONS, openPlatformHost, type PlatformHost } from './platform-host.js';
 
 /** Memory of the host in these tests, which is that of the smallest hosts of the platform. */
 const MEMORY_MB = 250;
@@ -19,14 +19,6 @@
 /** Descriptors of the node in these tests; a node of the sites may open 4100 or more. */
 const MAX_FDS = 200;
 
-/** As in the deploy file. */
-const NODE_OPTIONS = [
-  '--max-old-space-size=192',
-  '--max-semi-space-size=1',
-  '--no-wasm-tier-up',
-  '--no-wasm-dynamic-tiering',
-];
-
 /** Listed in KNOWN-RED.txt, as its outcome is by chance. */
 const KNOWN_RED = { todo: 'KNOWN-RED.txt' };
 
@@ -50,7 +42,11 @@
 
 async function startNode(context: TestContext, subnet: number): Promise<Node> {
   const limits = { memoryMb: MEMORY_MB, maxFds: MAX_FDS };
-  const host = await openPlatformHost(context, { subnet, nodeOptions: NODE_OPTIONS, ...limits });
+  const host = await openPlatformHost(context, {
+    subnet,
+    nodeOptions: DEPLOY_NODE_OPTIONS,
+    ...limits,
+  });
   host.host.startNode();
   await host.host.waitUntilReady(host.agent);
   const pid = host.host.nodePid;
--- a/test/sidecar/platform-host.ts
+++ b/test/sidecar/platform-host.ts
@@ -15,6 +15,14 @@
 const PEER_PORT = 7402;
 const READY_PORT = 7403;
 
+/** Options of Node.js in the deploy file, whose heap limit keeps a node below that of the platform. */
+export const DEPLOY_NODE_OPTIONS: readonly string[] = [
+  '--max-old-space-size=192',
+  '--max-semi-space-size=1',
+  '--no-wasm-tier-up',
+  '--no-wasm-dynamic-tiering',
+];
+
 /** Options of a host. */
 export interface PlatformHostOptions {
   /** Last number of the subnet of the host; each test uses its own. */
