Copy the chunks of a body into blocks in the own interface too

The own interface kept each chunk of a body as a buffer of its own, as the front end of the platform did until: 20 callers that send 30,000 chunks of a byte and stop short of the end took 142 and 178 MB for 0.6 MB of bodies.

--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -14,6 +14,7 @@
 import type { RequestId } from '../core/model/names.js';
 import type { Clock } from '../core/model/time.js';
 import type { RawRequest } from '../core/pipeline/request-stages.js';
+import { BodyBuffer } from './body-buffer.js';
 import type { EntryReply } from './entry-task.js';
 import type { TlsMaterial } from './tls-material.js';
 
@@ -60,18 +61,18 @@
   const { headers } = incoming;
   const hasBody = 'content-length' in headers || 'transfer-encoding' in headers;
   if (!hasBody) return { kind: 'read', bytes: NO_BODY };
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const declaredBytes = Number(headers['content-length'] ?? Number.POSITIVE_INFINITY);
+  // No memory is reserved for a body that will be refused.
+  const buffer = new BodyBuffer(declaredBytes <= maxBytes ? declaredBytes : null);
   try {
     for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > maxBytes) return { kind: 'too-large' };
-      chunks.push(chunk);
+      if (buffer.length + chunk.length > maxBytes) return { kind: 'too-large' };
+      buffer.add(chunk);
     }
   } catch {
     return { kind: 'broken' };
   }
-  return { kind: 'read', bytes: Buffer.concat(chunks) };
+  return { kind: 'read', bytes: buffer.take() };
 }
 
 function toHeaders(context: CallerContext): readonly Header[] {
--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -10,7 +10,7 @@
 } from '../core/exchange/body-admission.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
-import { BodyBuffer } from './body-buffer.js';
+import { BodyBuffer } from '../runtime/body-buffer.js';
 
 /** Result of reading a body. */
 export type BodyResult =
--- a/test/sidecar/body-buffer.test.ts
+++ b/test/runtime/body-buffer.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { BodyBuffer } from '../../src/sidecar/body-buffer.js';
+import { BodyBuffer } from '../../src/runtime/body-buffer.js';
 
 const RUNS = 200;
 
