Choose a gate at a cost that does not grow with the fleet

Cause: each send listed the backend servers of the service by comparing every candidate with every directory entry, and filtered and scored all of them.

Change: a table of the gates of each service, by zone, is built once for each directory. Two gates of each group are found by random probes, and all are looked at only when six probes find fewer than two. The service time expected of a gate without a recent report is a mean that replies update, not a pass over all views. The order of preference is as before: reachable, untried, not avoided, and what is left when there are none.

--- a/src/core/directory/directory.ts
+++ b/src/core/directory/directory.ts
@@ -1,5 +1,5 @@
 import type { CodeName } from '../errors/registry.js';
-import type { ServiceName, ZoneName } from '../model/names.js';
+import type { ZoneName } from '../model/names.js';
 import type { Instance } from './instance.js';
 
 /** Known backend servers and excluded zones. */
@@ -40,26 +40,6 @@
     );
 }
 
-/**
- * Lists the backend servers of a service that accept new requests.
- *
- * @param directory - the directory
- * @param service - the service
- * @returns serving instances outside excluded zones, one for each address
- */
-export function listServingInstances(
-  directory: Directory,
-  service: ServiceName,
-): readonly Instance[] {
-  return directory.instances.filter(
-    (instance) =>
-      instance.service === service &&
-      instance.state === 'serving' &&
-      !directory.zonesOut.has(instance.zone) &&
-      findInstance(directory, instance.address)?.id === instance.id,
-  );
-}
-
 /**
  * Returns why the gate beside a backend server refuses new calls.
  *
--- a/src/core/placement/choose-gate.ts
+++ b/src/core/placement/choose-gate.ts
@@ -1,14 +1,9 @@
-import type { Instance } from '../directory/instance.js';
+import type { Instance, InstanceId } from '../directory/instance.js';
 import type { GateLoad } from '../exchange/mesh-call.js';
-import type { ZoneName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
+import type { ServiceGates } from './gate-table.js';
 import { isStalled, initialGateView, type GateView } from './gate-view.js';
-
-/** A load report older than this is ignored. */
-const LOAD_LIFETIME_MS: Milliseconds = 2000;
-
-/** Service time assumed while no gate of a service has reported its load recently. */
-const DEFAULT_SERVICE_TIME_MS: Milliseconds = 50;
+import { LOAD_LIFETIME_MS } from './service-time.js';
 
 /** The expected time in another zone is multiplied by this, so a gate there has to be faster. */
 const CROSS_ZONE_FACTOR = 1.5;
@@ -22,14 +17,22 @@
 /** The expected time of a cold backend server is multiplied by this, as its capacity is low. */
 const COLD_FACTOR = 3;
 
+/**
+ * Random gates that are looked at before all of a service are. Where half of them can be used, two
+ * are found in all but one of nine choices.
+ */
+const MAX_PROBES = 6;
+
 /** Inputs of the choice. */
 export interface ChoiceOptions {
-  readonly candidates: readonly Instance[];
-  readonly views: ReadonlyMap<string, GateView>;
-  /** Zone of the sending node. */
-  readonly zone: ZoneName;
+  readonly gates: ServiceGates;
+  readonly views: ReadonlyMap<InstanceId, GateView>;
   /** Identifiers of instances that this request has already been sent to. */
-  readonly tried: ReadonlySet<string>;
+  readonly tried: ReadonlySet<InstanceId>;
+  readonly isLeaving: (instance: Instance) => boolean;
+  readonly isReachable: (instance: Instance) => boolean;
+  /** Service time of a gate without a recent report. */
+  readonly expectedServiceTimeMs: Milliseconds;
   readonly now: Instant;
   /** @returns a fraction at least 0 and below 1 */
   readonly random: () => number;
@@ -41,35 +44,21 @@
   readonly scoreMs: Milliseconds;
 }
 
+type Filter = (instance: Instance) => boolean;
+
 function recentLoad(view: GateView, now: Instant): GateLoad | null {
   return now - view.loadReceivedAt < LOAD_LIFETIME_MS ? view.load : null;
 }
 
-/**
- * Mean service time of the gates with a recent report. The others are expected to be like them: a
- * fixed time would keep a gate of a fast service unused once its report is old, and a new one for
- * ever.
- */
-function typicalServiceTime({ candidates, views, now }: ChoiceOptions): Milliseconds {
-  const reported = candidates.flatMap(({ id }) => {
-    const view = views.get(id);
-    return (view === undefined ? null : recentLoad(view, now))?.serviceTimeMs ?? [];
-  });
-  if (reported.length === 0) return DEFAULT_SERVICE_TIME_MS;
-  return reported.reduce((sum, serviceTimeMs) => sum + serviceTimeMs, 0) / reported.length;
-}
-
 function expectedTime(
   instance: Instance,
   view: GateView,
-  typicalMs: Milliseconds,
-  options: ChoiceOptions,
+  { now, expectedServiceTimeMs }: ChoiceOptions,
 ): Milliseconds {
-  const { now, zone } = options;
   const load = recentLoad(view, now);
   const limit = load?.limit ?? instance.slots;
   const busy = load === null ? view.outstanding : load.busy + view.sentSinceLoad;
-  const serviceTimeMs = load?.serviceTimeMs ?? typicalMs;
+  const serviceTimeMs = load?.serviceTimeMs ?? expectedServiceTimeMs;
   const utilization = busy / limit;
   const loadFactor =
     utilization < BUSY_UTILIZATION
@@ -80,8 +69,68 @@
     serviceTimeMs *
     loadFactor *
     (1 + view.failureRate * FAILURE_FACTOR) *
-    (isCold ? COLD_FACTOR : 1) *
-    (instance.zone === zone ? 1 : CROSS_ZONE_FACTOR)
+    (isCold ? COLD_FACTOR : 1)
+  );
+}
+
+function pickTwoOf(usable: readonly Instance[], random: () => number): readonly Instance[] {
+  if (usable.length <= 2) return usable;
+  const first = Math.floor(random() * usable.length);
+  const second = (first + 1 + Math.floor(random() * (usable.length - 1))) % usable.length;
+  return [first, second].flatMap((at) => usable[at] ?? []);
+}
+
+/** Picks two random gates that can be used; random probes rarely have to look at many of them. */
+function pickTwo(
+  from: readonly Instance[],
+  isUsable: Filter,
+  random: () => number,
+): readonly Instance[] {
+  if (from.length <= MAX_PROBES) return pickTwoOf(from.filter(isUsable), random);
+  let first: Instance | null = null;
+  for (let probe = 0; probe < MAX_PROBES; probe += 1) {
+    const instance = from[Math.floor(random() * from.length)];
+    if (instance !== undefined && instance !== first && isUsable(instance)) {
+      if (first !== null) return [first, instance];
+      first = instance;
+    }
+  }
+  return pickTwoOf(from.filter(isUsable), random);
+}
+
+function isAvailable({ id }: Instance, { views, now }: ChoiceOptions): boolean {
+  const view = views.get(id);
+  return view === undefined || (view.avoidUntil <= now && !isStalled(view, now));
+}
+
+/** Gates to choose from when none is free of doubts. */
+function listDoubtful(options: ChoiceOptions): ReadonlySet<Instance> {
+  const { gates, tried, isLeaving, isReachable } = options;
+  const staying = [...gates.local, ...gates.remote].filter((instance) => !isLeaving(instance));
+  const reachable = staying.filter(isReachable);
+  const untried = (reachable.length > 0 ? reachable : staying).filter(({ id }) => !tried.has(id));
+  const available = untried.filter((instance) => isAvailable(instance, options));
+  return new Set(available.length > 0 ? available : untried);
+}
+
+function score(instance: Instance, zoneFactor: number, options: ChoiceOptions): ScoredInstance {
+  const view = options.views.get(instance.id) ?? initialGateView;
+  return { instance, scoreMs: expectedTime(instance, view, options) * zoneFactor };
+}
+
+function faster(best: ScoredInstance | null, other: ScoredInstance): ScoredInstance {
+  return best === null || other.scoreMs < best.scoreMs ? other : best;
+}
+
+function chooseAmong(isUsable: Filter, options: ChoiceOptions): ScoredInstance | null {
+  const { gates, random } = options;
+  const local = pickTwo(gates.local, isUsable, random).reduce<ScoredInstance | null>(
+    (best, instance) => faster(best, score(instance, 1, options)),
+    null,
+  );
+  return pickTwo(gates.remote, isUsable, random).reduce(
+    (best, instance) => faster(best, score(instance, CROSS_ZONE_FACTOR, options)),
+    local,
   );
 }
 
@@ -91,29 +140,20 @@
  * from the other zones are compared, so that senders with the same view do not all choose the
  * same gate.
  *
- * @param options - candidates and their views
- * @returns the instance with its score, or null when no candidate is left
+ * @param options - the gates of the service, and what is known of them
+ * @returns the instance with its score, or null when no gate is left
  */
 export function chooseGate(options: ChoiceOptions): ScoredInstance | null {
-  const { candidates, views, tried, now, random } = options;
-  const untried = candidates.filter(({ id }) => !tried.has(id));
-  const viewOf = (instance: Instance) => views.get(instance.id) ?? initialGateView;
-  const available = untried.filter((instance) => {
-    const view = viewOf(instance);
-    return view.avoidUntil <= now && !isStalled(view, now);
-  });
-  const pool = available.length > 0 ? available : untried;
-  const pickTwo = (from: readonly Instance[]): readonly Instance[] => {
-    if (from.length <= 2) return from;
-    const first = Math.floor(random() * from.length);
-    const second = (first + 1 + Math.floor(random() * (from.length - 1))) % from.length;
-    return [first, second].flatMap((at) => from[at] ?? []);
-  };
-  const local = pickTwo(pool.filter(({ zone }) => zone === options.zone));
-  const remote = pickTwo(pool.filter(({ zone }) => zone !== options.zone));
-  const typicalMs = typicalServiceTime(options);
-  return [...local, ...remote].reduce<ScoredInstance | null>((best, instance) => {
-    const scoreMs = expectedTime(instance, viewOf(instance), typicalMs, options);
-    return best === null || scoreMs < best.scoreMs ? { instance, scoreMs } : best;
-  }, null);
+  const { tried, isLeaving, isReachable } = options;
+  const sound = chooseAmong(
+    (instance) =>
+      !tried.has(instance.id) &&
+      isAvailable(instance, options) &&
+      !isLeaving(instance) &&
+      isReachable(instance),
+    options,
+  );
+  if (sound !== null) return sound;
+  const doubtful = listDoubtful(options);
+  return chooseAmong((instance) => doubtful.has(instance), options);
 }
--- a/src/sidecar/entry-task.ts
+++ b/src/sidecar/entry-task.ts
@@ -1,5 +1,4 @@
 import type { Directory } from '../core/directory/directory.js';
-import { listServingInstances } from '../core/directory/directory.js';
 import type { Instance } from '../core/directory/instance.js';
 import type { CodeName } from '../core/errors/registry.js';
 import {
@@ -13,6 +12,7 @@
 import type { ServiceName } from '../core/model/names.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { chooseGate, type ScoredInstance } from '../core/placement/choose-gate.js';
+import { buildGateTable, noGates, type GateTable } from '../core/placement/gate-table.js';
 import {
   initialGateView,
   recordEnd,
@@ -25,6 +25,11 @@
   type LeavingInstances,
 } from '../core/placement/leaving-instances.js';
 import { finalOutcome, decideNextStep, type SendResult } from '../core/placement/next-send.js';
+import {
+  expectServiceTime,
+  recordServiceTime,
+  type ServiceTime,
+} from '../core/placement/service-time.js';
 import type { GateCall } from './gate-call.js';
 import { PlacedRequest } from './placed-request.js';
 import type { ReadBarrier } from './read-barrier.js';
@@ -40,7 +45,6 @@
   /** Service of the own backend server, recorded as the origin of all requests at this entry. */
   readonly origin: ServiceName;
   readonly view: AdmissionView;
-  readonly directory: () => Directory;
   readonly send: (instance: Instance, call: MeshCall) => GateCall;
   readonly isReachable: (instance: Instance) => boolean;
   /** @returns whether the retry budget of the service granted one more retry */
@@ -68,8 +72,12 @@
 export class EntryTask {
   readonly #options: EntryTaskOptions;
 
+  #gates: GateTable = new Map();
+
   readonly #gateViews = new Map<string, GateView>();
 
+  readonly #serviceTimes = new Map<ServiceName, ServiceTime>();
+
   #leavingInstances: LeavingInstances = new Map();
 
   /** Requests that have no answer yet. */
@@ -88,15 +96,19 @@
   }
 
   /**
-   * Removes the state of gates that the directory no longer lists.
+   * Applies a directory, and removes the state of gates and services that it no longer lists.
    *
    * @param directory - the current directory
    */
-  removeUnlistedGates(directory: Directory): void {
+  updateDirectory(directory: Directory): void {
+    this.#gates = buildGateTable(directory, this.#options.zone);
     const listed = new Set(directory.instances.map(({ id }) => id));
     [...this.#gateViews.keys()].forEach((id) => {
       if (!listed.has(id)) this.#gateViews.delete(id);
     });
+    [...this.#serviceTimes.keys()].forEach((service) => {
+      if (!this.#gates.has(service)) this.#serviceTimes.delete(service);
+    });
   }
 
   /**
@@ -222,18 +234,18 @@
     return kind === 'try-another' || this.#options.acquireRetry(service);
   }
 
-  #chooseInstance(placed: PlacedRequest): ScoredInstance | null {
-    const { clock, zone, random, directory, isReachable } = this.#options;
-    const candidates = listServingInstances(directory(), placed.admitted.service).filter(
-      (instance) => !isLeavingInstance(this.#leavingInstances, instance),
-    );
-    const reachable = candidates.filter(isReachable);
+  #chooseInstance({ admitted, tried }: PlacedRequest): ScoredInstance | null {
+    const { clock, random, isReachable } = this.#options;
+    const { service } = admitted;
+    const now = clock.now();
     return chooseGate({
-      candidates: reachable.length > 0 ? reachable : candidates,
+      gates: this.#gates.get(service) ?? noGates,
       views: this.#gateViews,
-      zone,
-      tried: placed.tried,
-      now: clock.now(),
+      tried,
+      isLeaving: (instance) => isLeavingInstance(this.#leavingInstances, instance),
+      isReachable,
+      expectedServiceTimeMs: expectServiceTime(this.#serviceTimes.get(service), now),
+      now,
       random,
     });
   }
@@ -313,6 +325,7 @@
         break;
       case 'replied': {
         const { outcome, load } = result.reply;
+        this.#recordServiceTime(instance, load, now);
         if (load.isLeaving) {
           this.#leavingInstances = addLeavingInstance(this.#leavingInstances, instance, now);
         }
@@ -326,6 +339,11 @@
     }
   }
 
+  #recordServiceTime({ service }: Instance, { serviceTimeMs }: GateLoad, now: Instant): void {
+    const before = this.#serviceTimes.get(service);
+    this.#serviceTimes.set(service, recordServiceTime(before, serviceTimeMs, now));
+  }
+
   #logPlaced({ admitted, history, tried }: PlacedRequest, outcome: MeshOutcome): void {
     const { requestId, route, service, account, arrivedAt, rank } = admitted;
     this.#logEnd(requestId, outcome, arrivedAt, {
--- a/src/sidecar/gate-caller.ts
+++ b/src/sidecar/gate-caller.ts
@@ -17,6 +17,9 @@
 export class GateCaller {
   readonly #options: GateCallerOptions;
 
+  /** Peer addresses of the nodes beside listed backend servers. */
+  readonly #peerAddresses = new WeakMap<Instance, string>();
+
   /**
    * @param options - the own gate and the links to other nodes
    */
@@ -31,11 +34,11 @@
    * @param call - the call
    * @returns the call in flight
    */
-  call({ address }: Instance, call: MeshCall): GateCall {
-    const { gate, ownAddress, peers } = this.#options;
-    return address === ownAddress
+  call(instance: Instance, call: MeshCall): GateCall {
+    const { gate, ownAddress } = this.#options;
+    return instance.address === ownAddress
       ? callOwnGate(gate, call)
-      : callPeerGate(this.#options, peers.addressOf(extractIp(address)), call);
+      : callPeerGate(this.#options, this.#peerAddressOf(instance), call);
   }
 
   /**
@@ -44,8 +47,16 @@
    * @param instance - the backend server
    * @returns whether it is the own gate, or that of a peer that accepts calls
    */
-  isReachable({ address }: Instance): boolean {
+  isReachable(instance: Instance): boolean {
     const { ownAddress, peers } = this.#options;
-    return address === ownAddress || peers.isReachable(peers.addressOf(extractIp(address)));
+    return instance.address === ownAddress || peers.isReachable(this.#peerAddressOf(instance));
+  }
+
+  #peerAddressOf(instance: Instance): string {
+    const known = this.#peerAddresses.get(instance);
+    if (known !== undefined) return known;
+    const address = this.#options.peers.addressOf(extractIp(instance.address));
+    this.#peerAddresses.set(instance, address);
+    return address;
   }
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -350,7 +350,6 @@
         chooseService: (route) => this.#controlPath.policy.chooseService(route),
         retryDelayMs: (route) => this.#fleet.loads.chooseRetryAfterMs(route),
       },
-      directory: () => this.#controlPath.directory,
       send: (instance, call) => gates.call(instance, call),
       isReachable: (instance) => gates.isReachable(instance),
       acquireRetry: (service) => {
@@ -396,7 +395,7 @@
         this.#metrics.policyVersion.set(event.policy.version);
         break;
       case 'directory-changed':
-        this.#entry.removeUnlistedGates(event.directory);
+        this.#entry.updateDirectory(event.directory);
         this.#updateGate();
         break;
     }
--- a/test/core/placement/placement.test.ts
+++ b/test/core/placement/placement.test.ts
@@ -9,6 +9,11 @@
   recordSent,
   type GateView,
 } from '../../../src/core/placement/gate-view.js';
+import {
+  expectServiceTime,
+  recordServiceTime,
+  type ServiceTime,
+} from '../../../src/core/placement/service-time.js';
 import {
   decideNextStep,
   emptySendHistory,
@@ -46,16 +51,32 @@
   return recordEnd(initialGateView, 'answered', load(change), 0);
 }
 
+const NOW = 10;
+
+/** Service time of gates without a recent report, as the reports of the others let expect it. */
+function expectedServiceTime(views: ReadonlyMap<string, GateView>): number {
+  const known = [...views.values()].reduce<ServiceTime | undefined>(
+    (before, { load: reported, loadReceivedAt }) =>
+      reported === null || NOW - loadReceivedAt >= 2000
+        ? before
+        : recordServiceTime(before, reported.serviceTimeMs, loadReceivedAt),
+    undefined,
+  );
+  return expectServiceTime(known, NOW);
+}
+
 function countChoices(views: ReadonlyMap<string, GateView>): ReadonlyMap<string, number> {
   const random = createRandom(7);
   const counts = new Map<string, number>();
   for (let round = 0; round < 200; round += 1) {
     const chosen = chooseGate({
-      candidates: [instance('1', 'a'), instance('2', 'a'), instance('3', 'b')],
+      gates: { local: [instance('1', 'a'), instance('2', 'a')], remote: [instance('3', 'b')] },
       views,
-      zone: 'a',
       tried: new Set(),
-      now: 10,
+      isLeaving: () => false,
+      isReachable: () => true,
+      expectedServiceTimeMs: expectedServiceTime(views),
+      now: NOW,
       random,
     });
     const id = chosen?.instance.id ?? 'none';
