Keep the running calls of a gate in a persistent map

Cause: each start and each end of a call copied the map of all calls that run at the gate.

The rates that limit starts are listed only while there are any.

Result: a call starts and ends without a pass over the others beside 3, 30 and 300 of them (dispatch.test.ts, which fails on the code before at each).

--- a/src/core/dispatch/dispatch-state.ts
+++ b/src/core/dispatch/dispatch-state.ts
@@ -1,3 +1,4 @@
+import type { Map as PersistentMap } from 'immutable';
 import type { CodeName } from '../errors/registry.js';
 import type { Rank } from '../exchange/mesh-call.js';
 import type { Instant, Milliseconds } from '../model/time.js';
@@ -50,7 +51,8 @@
   readonly isHeld: boolean;
   /** Queued calls in the order of their rank. */
   readonly queue: readonly QueuedCall[];
-  readonly running: ReadonlyMap<CallId, RunningCall>;
+  /** Persistent, as a copy for each start and end would make calls dearer the more of them run. */
+  readonly running: PersistentMap<CallId, RunningCall>;
   readonly runningNested: number;
   /** Calls started within the last second, kept while a rate limits the starts. */
   readonly starts: readonly RunningCall[];
--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -1,3 +1,4 @@
+import { Map as PersistentMap } from 'immutable';
 import type { CodeName } from '../errors/registry.js';
 import { compareRanks, type GateLoad, type Rank } from '../exchange/mesh-call.js';
 import type { Instant, Milliseconds } from '../model/time.js';
@@ -92,7 +93,7 @@
     closed: null,
     isHeld: false,
     queue: [],
-    running: new Map(),
+    running: PersistentMap(),
     runningNested: 0,
     starts: [],
     serviceTimeMs: INITIAL_SERVICE_TIME_MS,
@@ -128,8 +129,11 @@
   return [{ ratePerSecond, rootShare: ROOT_RESERVED_SHARE, reason: 'stated-limit' }];
 }
 
+const NO_RATES: readonly StartRate[] = [];
+
 /** Lists the rates that limit the starts at present; the lowest one comes first. */
 function startRates(state: DispatchState): readonly StartRate[] {
+  if (state.condition.kind !== 'cold' && state.startLimit.kind !== 'limited') return NO_RATES;
   return [...coldRates(state), ...statedRates(state)].sort(
     (left, right) => left.ratePerSecond - right.ratePerSecond,
   );
@@ -217,7 +221,7 @@
   const next: DispatchState = {
     ...state,
     queue: state.queue.filter((_, at) => at !== index),
-    running: new Map(state.running).set(callId, started),
+    running: state.running.set(callId, started),
     runningNested: state.runningNested + (rank.isNested ? 1 : 0),
     starts: rates.length === 0 ? [] : [...recentStarts(state.starts, now), started],
   };
@@ -334,8 +338,6 @@
 ): DispatchStep {
   const found = state.running.get(callId);
   if (found === undefined) return step(state);
-  const running = new Map(state.running);
-  running.delete(callId);
   const sampleMs = now - found.startedAt;
   const serviceTimeMs =
     result === 'answered'
@@ -343,7 +345,7 @@
       : state.serviceTimeMs;
   const next: DispatchState = {
     ...state,
-    running,
+    running: state.running.delete(callId),
     runningNested: state.runningNested - (found.isNested ? 1 : 0),
     serviceTimeMs,
   };
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -232,3 +232,16 @@
   gate.send({ kind: 'processor-measured', utilization: 0.1, elapsedMs: 2000 }, 20);
   assert.ok(gate.started.includes(100));
 });
+
+[3, 30, 300].forEach((running) => {
+  // Guards against a price of a call that grows with the calls that run, by copies of their map.
+  test(`a call starts and ends beside ${running} others without a pass over them`, (context) => {
+    const gate = warmGate(1000);
+    for (let callId = 0; callId < running; callId += 1) gate.arrive(callId, NESTED, 0);
+    const passes = context.mock.method(Map.prototype, Symbol.iterator);
+    gate.arrive(running, NESTED, 1);
+    gate.send({ kind: 'ended', callId: 0, end: 'answered' }, 2);
+    assert.equal(passes.mock.callCount(), 0);
+    assert.equal(gate.state.running.size, running);
+  });
+});
