Keep the quotas of accounts in persistent maps

Cause: each request of an account copied the quotas of all accounts, and each report copied the totals of all accounts and, for each of its accounts, the demand of all nodes.

Change: persistent maps (immutable), also at the node that adds up the reports.

Result: a request and a report pass over none of 8, 72, 140 and 1,000 accounts (quota.test.ts, which fails on the code before at each).

--- a/src/core/quota/aggregator.ts
+++ b/src/core/quota/aggregator.ts
@@ -1,3 +1,4 @@
+import { Map as PersistentMap } from 'immutable';
 import type { AccountName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import type { QuotaAccount } from '../policy/policy.js';
@@ -20,17 +21,18 @@
   readonly tokens: number;
   readonly refilledAt: Instant;
   readonly all: Demand;
-  readonly byNode: ReadonlyMap<string, Demand>;
+  readonly byNode: PersistentMap<string, Demand>;
 }
 
 /**
  * Token bucket and demand of each account on the node that aggregates the reports of all nodes. The
- * state is in memory only; a new aggregator rebuilds it from the reports that follow.
+ * state is in memory only; a new aggregator rebuilds it from the reports that follow. Its maps are
+ * persistent, as copies of them would make each report dearer the more accounts and nodes there are.
  */
-export type AggregatorState = ReadonlyMap<AccountName, AccountTotal>;
+export type AggregatorState = PersistentMap<AccountName, AccountTotal>;
 
 /** State of an aggregator that has not received any report. */
-export const emptyAggregator: AggregatorState = new Map();
+export const emptyAggregator: AggregatorState = PersistentMap();
 
 const NO_DEMAND: Demand = { count: 0, at: 0 };
 
@@ -78,7 +80,7 @@
   rateShare: number,
   now: Instant,
 ): AggregatorStep {
-  const next = new Map(state);
+  let next = state;
   const totals = usages.flatMap(({ account: name, admitted, demanded }): readonly Total[] => {
     const account = accounts.get(name);
     if (account === undefined || account.ratePerSecond === 0) return [];
@@ -86,8 +88,8 @@
     const own = addDemand(before?.byNode.get(node) ?? NO_DEMAND, demanded, now);
     const all = addDemand(before?.all ?? NO_DEMAND, demanded, now);
     const tokens = refillTokens(before, account, rateShare, now) - admitted;
-    const byNode = new Map(before?.byNode).set(node, own);
-    next.set(name, { tokens, refilledAt: now, all, byNode });
+    const byNode = (before?.byNode ?? PersistentMap<string, Demand>()).set(node, own);
+    next = next.set(name, { tokens, refilledAt: now, all, byNode });
     const demandPerSecond = (all.count * 1000) / DEMAND_TIME_CONSTANT_MS;
     const share = own.count / all.count;
     return [{ account: name, tokens, demandPerSecond, share, rateShare }];
--- a/src/core/quota/quota.ts
+++ b/src/core/quota/quota.ts
@@ -1,3 +1,4 @@
+import { Map as PersistentMap } from 'immutable';
 import type { AccountName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import type { QuotaAccount } from '../policy/policy.js';
@@ -52,11 +53,14 @@
   readonly lastTotal: { readonly tokens: number; readonly at: Instant } | null;
 }
 
-/** Quotas by account. */
-export type QuotaState = ReadonlyMap<AccountName, AccountQuota>;
+/**
+ * Quotas by account. The map is persistent, as a copy for each request would make requests dearer
+ * the more accounts there are.
+ */
+export type QuotaState = PersistentMap<AccountName, AccountQuota>;
 
 /** Quotas of a node that has not seen any account. */
-export const emptyQuotas: QuotaState = new Map();
+export const emptyQuotas: QuotaState = PersistentMap();
 
 /** Decision whether a request is within the quota. */
 export interface QuotaStep {
@@ -183,7 +187,7 @@
   const counted = { ...quota, demanded: quota.demanded + 1 };
   const refillPerSecond = Math.max(0.1, account.ratePerSecond * quota.share);
   return {
-    state: new Map(state).set(account.name, isAdmitted ? spendToken(counted) : counted),
+    state: state.set(account.name, isAdmitted ? spendToken(counted) : counted),
     isAdmitted,
     retryAfterMs: isAdmitted ? 0 : ((1 - tokens) * 1000) / refillPerSecond,
     tokens,
@@ -206,10 +210,10 @@
 export function takeReport(state: QuotaState): ReportStep {
   const used = [...state].filter(([, { demanded }]) => demanded > 0);
   if (used.length === 0) return { state, usages: [] };
-  const next = new Map(state);
-  used.forEach(([name, quota]) => next.set(name, { ...quota, admitted: 0, demanded: 0 }));
   return {
-    state: next,
+    state: state.withMutations((next) =>
+      used.forEach(([name, quota]) => next.set(name, { ...quota, admitted: 0, demanded: 0 })),
+    ),
     usages: used.map(([account, { admitted, demanded }]) => ({ account, admitted, demanded })),
   };
 }
@@ -281,12 +285,12 @@
   view: QuotaView,
   now: Instant,
 ): QuotaState {
-  const next = new Map(state);
-  totals.forEach((total) => {
-    const account = accounts.get(total.account);
-    if (account === undefined) return;
-    const quota = next.get(total.account) ?? createQuota(account, view, now);
-    next.set(total.account, applyTotal(quota, total, account, now));
+  return state.withMutations((next) => {
+    totals.forEach((total) => {
+      const account = accounts.get(total.account);
+      if (account === undefined) return;
+      const quota = next.get(total.account) ?? createQuota(account, view, now);
+      next.set(total.account, applyTotal(quota, total, account, now));
+    });
   });
-  return next;
 }
--- a/test/core/quota/quota.test.ts
+++ b/test/core/quota/quota.test.ts
@@ -228,3 +228,26 @@
   // The rate refills 25 tokens in 250 ms, from -10 to 15.
   assert.ok(admitted <= 15, `${admitted} requests`);
 });
+
+[8, 72, 140, 1000].forEach((count) => {
+  // Guards against a price of a request that grows with the accounts, by copies of their quotas.
+  test(`a request and a report pass over none of ${count} accounts`, (context) => {
+    const names = Array.from({ length: count }, (_, index) => `account-${index}`);
+    const all = new Map(names.map((name) => [name, { ...account(10, 20), name }] as const));
+    const view = { nodes: NODES, isAggregatorReachable: true, isReportOverdue: false };
+    const usages = names.map((name) => ({ account: name, admitted: 1, demanded: 1 }));
+    const total = addReport(emptyAggregator, 'node-1', usages, all, 1, 0);
+    const quotas = applyTotals(emptyQuotas, total.totals, all, view, 0);
+    const passes = context.mock.method(Map.prototype, Symbol.iterator);
+    const { isAdmitted, state } = admit(
+      quotas,
+      { ...account(10, 20), name: 'account-0' },
+      view,
+      10,
+    );
+    addReport(total.state, 'node-2', usages.slice(0, 1), all, 1, 10);
+    assert.equal(passes.mock.callCount(), 0);
+    assert.ok(isAdmitted);
+    assert.equal(state.size, count);
+  });
+});
