Count a request for the retry budget without copying the window

Cause: each request copied the slots of the whole window, up to 21, to add one to the last of them.

Change: the slot that is being counted stands beside those before it.

--- a/src/core/retry/retry-budget.ts
+++ b/src/core/retry/retry-budget.ts
@@ -17,11 +17,20 @@
   readonly retries: number;
 }
 
-/** Requests and retries of one service at one node by time slot, oldest first. */
-export type RetryBudget = readonly Slot[];
+/** Requests and retries of one service at one node by time slot. */
+export interface RetryBudget {
+  /** Slot that is being counted; null before the first request. */
+  readonly current: Slot | null;
+  /** Slots of the window before it, oldest first. */
+  readonly past: readonly Slot[];
+}
 
 /** A budget without requests. */
-export const emptyRetryBudget: RetryBudget = [];
+export const emptyRetryBudget: RetryBudget = { current: null, past: [] };
+
+function listSlots({ current, past }: RetryBudget): readonly Slot[] {
+  return current === null ? past : [...past, current];
+}
 
 function addCounts(
   budget: RetryBudget,
@@ -30,17 +39,19 @@
   { windowMs }: RetryBound,
   now: Instant,
 ): RetryBudget {
-  const last = budget.at(-1);
-  if (last !== undefined && now - last.startedAt < SLOT_MS) {
-    const updated = {
-      ...last,
-      requests: last.requests + requests,
-      retries: last.retries + retries,
+  const { current, past } = budget;
+  if (current !== null && now - current.startedAt < SLOT_MS) {
+    const next = {
+      startedAt: current.startedAt,
+      requests: current.requests + requests,
+      retries: current.retries + retries,
     };
-    return [...budget.slice(0, -1), updated];
+    return { current: next, past };
   }
-  const kept = budget.filter(({ startedAt }) => now - startedAt < windowMs + SLOT_MS);
-  return [...kept, { startedAt: now, requests, retries }];
+  return {
+    current: { startedAt: now, requests, retries },
+    past: listSlots(budget).filter(({ startedAt }) => now - startedAt < windowMs + SLOT_MS),
+  };
 }
 
 /**
@@ -88,7 +99,7 @@
   { nodes, offset }: BudgetShare,
   now: Instant,
 ): RetryGrant {
-  const recent = budget.filter(({ startedAt }) => now - startedAt < bound.windowMs);
+  const recent = listSlots(budget).filter(({ startedAt }) => now - startedAt < bound.windowMs);
   const requests = recent.reduce((sum, slot) => sum + slot.requests, 0);
   const retries = recent.reduce((sum, slot) => sum + slot.retries, 0);
   const allowed = USED_SHARE * (bound.ratio * requests + bound.slack / Math.max(1, nodes));
