Handle a call without promises, digests and timers of its own

Cause: a lookup is six handlings at the node beside a finder, five of them as the entry of its calls. Each made five promises, a SHA-1 for a list of crashing requests that is empty nearly always, two lists of timers (Node.js keeps one for each length) and copies of records that only pass through; and each connection kept its last request in memory, so all of them reached the old generation of the collector.

Change: - The entry, the links and the gates hand results to callbacks. A step that throws still ends its request with an answer. - A call carries no fingerprint. The entry computes one while any crash is known, the gate when a connection breaks or, while any crash is known, at a completed call.

--- a/src/core/exchange/admission-pipeline.ts
+++ b/src/core/exchange/admission-pipeline.ts
@@ -1,10 +1,10 @@
-import { createHash } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import type { CodeName, Details } from '../errors/registry.js';
 import type { RequestId, ServiceName } from '../model/names.js';
 import type { Instant, Milliseconds } from '../model/time.js';
 import { findRoute, type PolicyLookup } from '../policy/policy-lookup.js';
 import type { PrefixRoute, QuotaAccount } from '../policy/policy.js';
+import type { FingerprintedRequest } from './fingerprint.js';
 import type { IncomingHead, IncomingRequest } from './incoming-request.js';
 import type { Rank } from './mesh-call.js';
 
@@ -30,7 +30,6 @@
   readonly account: QuotaAccount | null;
   readonly rank: Rank;
   readonly service: ServiceName;
-  readonly fingerprint: string;
   readonly arrivedAt: Instant;
   /** Latest instant for the final answer to the caller. */
   readonly deadline: Instant;
@@ -41,7 +40,8 @@
   readonly lookup: () => PolicyLookup | null;
   /** Whether a request with this deadline is answered before the node exits. */
   readonly canServeUntil: (deadline: Instant) => boolean;
-  readonly isQuarantined: (fingerprint: string) => boolean;
+  /** Whether equal requests crashed backend servers. */
+  readonly isQuarantined: (request: FingerprintedRequest) => boolean;
   /** @returns null when the request is within the quota */
   readonly spendQuota: (account: QuotaAccount) => Limitation | null;
   /** @returns null when the load of the route permits the request */
@@ -103,21 +103,6 @@
   return ok({ requestId, request, route, account });
 }
 
-/**
- * Computes the fingerprint of a request, which is equal for equal requests of one caller at all
- * nodes.
- *
- * @param caller - name of the client account, or of the service on whose host it originated
- * @param request - the request
- * @returns SHA-1 in base64url over caller, method, host, path and body
- */
-export function computeFingerprint(caller: string, request: IncomingRequest): string {
-  return createHash('sha1')
-    .update(`${caller}\n${request.method}\n${request.host}${request.path}\n`)
-    .update(request.body)
-    .digest('base64url');
-}
-
 function computeTimeout({ callerTimeoutMs }: IncomingHead, route: PrefixRoute): Milliseconds {
   if (callerTimeoutMs === null) return route.timeoutMs;
   return Math.min(route.timeoutMs, Math.max(1, callerTimeoutMs - CALLER_MARGIN_MS));
@@ -154,8 +139,9 @@
   arrivedAt: Instant,
 ): Result<AdmittedRequest, EntryRefusal> {
   return identify(view, request).andThen(({ requestId, route, account }) => {
-    const fingerprint = computeFingerprint(account?.name ?? origin, request);
-    if (view.isQuarantined(fingerprint)) {
+    const { method, path, body } = request;
+    const caller = account?.name ?? origin;
+    if (view.isQuarantined({ caller, route: route.name, method, path, body })) {
       return err(refusal('quarantined', view.retryDelayMs(route)));
     }
     // Backend servers send no key with the calls that they make.
@@ -186,7 +172,6 @@
       account,
       rank,
       service,
-      fingerprint,
       arrivedAt,
       deadline,
     });
--- a/src/core/exchange/caller-pipeline.ts
+++ b/src/core/exchange/caller-pipeline.ts
@@ -108,7 +108,7 @@
 
 /** Handles waiting requests, in order, while there is room. */
 function startWaiting(before: CallerPipeline, { isHeld }: PipelineConditions): PipelineStep {
-  if (isHeld) return step(before);
+  if (isHeld || !before.requests.some(({ stage }) => stage === 'waiting')) return step(before);
   let room = MAX_RUNNING_REQUESTS - countRunning(before);
   if (countHeldBytes(before) >= MAX_HELD_BYTES) room = Math.min(room, 0);
   const effects: PipelineEffect[] = [];
@@ -174,7 +174,9 @@
   );
   const written = writeAnswers({ ...before, requests }, message);
   const started = startWaiting(written.state, message);
-  return step(started.state, ...written.effects, ...started.effects);
+  return started.effects.length === 0
+    ? written
+    : step(started.state, ...written.effects, ...started.effects);
 }
 
 /**
--- a/src/core/exchange/mesh-call.ts
+++ b/src/core/exchange/mesh-call.ts
@@ -29,7 +29,6 @@
   readonly timeLeftMs: Milliseconds;
   /** Time to its latency objective, from the same instant. */
   readonly objectiveLeftMs: Milliseconds;
-  readonly fingerprint: string;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly Header[];
@@ -75,6 +74,17 @@
   /** The request may have run. */
   | { readonly kind: 'failed'; readonly code: CodeName };
 
+/**
+ * Builds the outcome of a request that has not run, without a delay after which it may come back.
+ *
+ * @param code - the reason
+ * @param wasOffered - whether the backend server rejected it
+ * @returns the outcome
+ */
+export function refusedOutcome(code: CodeName, wasOffered = false): MeshOutcome {
+  return { kind: 'refused', code, retryAfterMs: 0, wasOffered };
+}
+
 /** Reply of a gate. */
 export interface MeshReply {
   readonly outcome: MeshOutcome;
--- a/src/runtime/crash-task.ts
+++ b/src/runtime/crash-task.ts
@@ -67,6 +67,11 @@
     this.send({ kind: 'crashed', crashId, fingerprints });
   }
 
+  /** @returns whether any call is known that was running at a crash */
+  get hasRecords(): boolean {
+    return !this.#task.state.records.isEmpty();
+  }
+
   /**
    * @param fingerprint - fingerprint of a call
    * @returns whether calls with this fingerprint were running at the crashes of two backend servers
--- a/src/sidecar/backend-exchange.ts
+++ b/src/sidecar/backend-exchange.ts
@@ -101,10 +101,12 @@
 
   /**
    * Aborts the exchange and closes its connection, so that the backend server stops the request.
+   * After its end the connection may carry another request, and nothing is done.
    *
    * @param code - result code with which the exchange ends
    */
   abort(code: CodeName): void {
+    if (this.#isEnded) return;
     this.#abortCode = code;
     this.#controller?.abort(new Error(code));
   }
--- a/src/sidecar/backend-monitor.ts
+++ b/src/sidecar/backend-monitor.ts
@@ -8,7 +8,9 @@
 import type { Condition } from '../core/dispatch/dispatch-state.js';
 import type { InstanceId } from '../core/directory/instance.js';
 import type { Dialect } from '../core/exchange/dialect.js';
+import { fingerprintOfCall } from '../core/exchange/fingerprint.js';
 import type { HealthReport } from '../core/exchange/incoming-request.js';
+import type { MeshCall } from '../core/exchange/mesh-call.js';
 import type { Clock } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 import type { ExchangeEnd } from './backend-exchange.js';
@@ -44,7 +46,7 @@
 }
 
 /** Converts the end of an exchange to a message of the task; null when it is inconclusive. */
-function exchangeMessage(fingerprint: string, end: ExchangeEnd): BackendObservation | null {
+function exchangeMessage(call: MeshCall, end: ExchangeEnd): BackendObservation | null {
   switch (end.kind) {
     case 'answered':
       return { kind: 'answered' };
@@ -53,7 +55,9 @@
     case 'unsent':
       return end.isConnectionRefused ? { kind: 'connection-refused' } : null;
     case 'failed':
-      return end.isBroken ? { kind: 'connection-broken', fingerprint } : null;
+      return end.isBroken
+        ? { kind: 'connection-broken', fingerprint: fingerprintOfCall(call) }
+        : null;
   }
 }
 
@@ -119,11 +123,11 @@
   /**
    * Checks the end of an exchange for indications of a crash or of a new instance.
    *
-   * @param fingerprint - fingerprint of the request
+   * @param call - the call whose request was sent
    * @param end - how the exchange ended
    */
-  observeExchange(fingerprint: string, end: ExchangeEnd): void {
-    const message = exchangeMessage(fingerprint, end);
+  observeExchange(call: MeshCall, end: ExchangeEnd): void {
+    const message = exchangeMessage(call, end);
     if (message !== null) this.#task.send(message);
   }
 
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -13,12 +13,13 @@
   type RequestNumber,
 } from '../core/exchange/caller-pipeline.js';
 import type { IncomingHead } from '../core/exchange/incoming-request.js';
-import type { MeshOutcome } from '../core/exchange/mesh-call.js';
+import { refusedOutcome, type MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 import type { AnswerBuffer, AnswerHold } from './answer-buffer.js';
 import { refuseUnread, writeAnswer } from './answer-writer.js';
 import type { Exchange } from './entry-task.js';
+import type { AnswerHandler } from './placed-request.js';
 
 /** A request that has been read completely. */
 export interface CompleteRequest {
@@ -35,19 +36,13 @@
   readonly clock: Clock;
   readonly socket: Socket;
   readonly conditions: () => PipelineConditions;
-  readonly handle: (request: CompleteRequest) => Exchange;
+  readonly handle: (request: CompleteRequest, answer: AnswerHandler) => Exchange;
   /** Answers that the callers of all connections have not read. */
   readonly unreadAnswers: AnswerBuffer;
   /** Called when the connection is closed because its caller does not read its answers. */
   readonly onUnread: () => void;
 }
 
-interface OpenRequest {
-  readonly request: CompleteRequest;
-  readonly exchange: Exchange | null;
-  readonly outcome: MeshOutcome | null;
-}
-
 /** Time for the caller to read the last answer and to close its side of the connection. */
 const CLOSE_TIMEOUT_MS: Milliseconds = 1000;
 
@@ -61,7 +56,12 @@
 
   readonly #pipeline: Task<CallerPipeline, PipelineMessage, PipelineEffect>;
 
-  readonly #open = new Map<RequestNumber, OpenRequest>();
+  /** Requests whose answer has not been written. */
+  readonly #open = new Map<RequestNumber, CompleteRequest>();
+
+  readonly #exchanges = new Map<RequestNumber, Exchange>();
+
+  readonly #outcomes = new Map<RequestNumber, MeshOutcome>();
 
   readonly #openedAt: Instant;
 
@@ -140,8 +140,7 @@
    * @param code - the reason
    */
   refuse(request: CompleteRequest, code: CodeName): void {
-    const outcome: MeshOutcome = { kind: 'refused', code, retryAfterMs: 0, wasOffered: false };
-    this.#add(request, { bytes: 0, isLast: true }, outcome);
+    this.#add(request, { bytes: 0, isLast: true }, refusedOutcome(code));
   }
 
   /**
@@ -175,7 +174,8 @@
     }
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    this.#open.set(number, { request, exchange: null, outcome });
+    this.#open.set(number, request);
+    if (outcome !== null) this.#outcomes.set(number, outcome);
     this.#send({ kind: 'request-read', number, bytes, isLast });
   }
 
@@ -209,48 +209,54 @@
   }
 
   #handle(number: RequestNumber): void {
-    const open = this.#open.get(number);
-    if (open === undefined) return;
-    if (open.outcome !== null) {
-      this.#answer(number, open.outcome);
+    const request = this.#open.get(number);
+    if (request === undefined) return;
+    const known = this.#outcomes.get(number);
+    if (known !== undefined) {
+      this.#answer(number, known);
       return;
     }
-    const exchange = this.#options.handle(open.request);
-    this.#open.set(number, { ...open, exchange });
-    void exchange.outcome.then((outcome) => this.#answer(number, outcome));
+    const exchange = this.#options.handle(request, (outcome) => this.#answer(number, outcome));
+    // A request that is refused at once has been answered by now.
+    if (!this.#outcomes.has(number)) this.#exchanges.set(number, exchange);
   }
 
   #answer(number: RequestNumber, outcome: MeshOutcome): void {
-    const open = this.#open.get(number);
-    if (open === undefined) return;
-    open.request.release();
-    this.#open.set(number, { ...open, exchange: null, outcome });
+    const request = this.#open.get(number);
+    if (request === undefined) return;
+    request.release();
+    this.#exchanges.delete(number);
+    this.#outcomes.set(number, outcome);
     const bytes = outcomeBytes(outcome);
     this.#options.unreadAnswers.add(this, bytes);
     this.#send({ kind: 'answered', number, bytes });
   }
 
   #discard(number: RequestNumber): void {
-    this.#open.get(number)?.request.release();
+    this.#open.get(number)?.release();
     this.#open.delete(number);
+    this.#outcomes.delete(number);
   }
 
   #write(number: RequestNumber, isLast: boolean): void {
-    const open = this.#open.get(number);
+    const request = this.#open.get(number);
+    const outcome = this.#outcomes.get(number);
     this.#open.delete(number);
-    if (open === undefined || open.outcome === null) return;
+    this.#outcomes.delete(number);
+    if (request === undefined || outcome === undefined) return;
     this.#usedAt = this.#options.clock.now();
-    const { response } = open.request;
+    const { response } = request;
     this.#lastResponse = response;
     if (!response.destroyed) this.#unwritten.add(response);
-    const bytes = outcomeBytes(open.outcome);
-    const forget = (): void => {
-      if (!this.#unwritten.delete(response)) return;
-      this.#options.unreadAnswers.remove(this, bytes);
-    };
-    response.once('finish', forget);
-    response.once('close', forget);
-    writeAnswer(response, open.outcome, isLast);
+    // Also follows the end of a response that was written completely.
+    response.on('close', () => this.#forget(response, outcomeBytes(outcome)));
+    writeAnswer(response, outcome, isLast);
+  }
+
+  /** A response that is kept until the next one would keep its whole request in memory. */
+  #forget(response: ServerResponse, bytes: number): void {
+    if (this.#lastResponse === response) this.#lastResponse = null;
+    if (this.#unwritten.delete(response)) this.#options.unreadAnswers.remove(this, bytes);
   }
 
   #writeUnreadRefusal(code: CodeName): void {
@@ -281,10 +287,9 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     const requests = [...this.#open.values()];
-    this.#open.clear();
-    requests.forEach(({ request, exchange }) => {
-      request.release();
-      exchange?.cancel();
-    });
+    const exchanges = [...this.#exchanges.values()];
+    [this.#open, this.#exchanges, this.#outcomes].forEach((map) => map.clear());
+    requests.forEach((request) => request.release());
+    exchanges.forEach((exchange) => exchange.cancel());
   }
 }
--- a/src/sidecar/dispatch-task.ts
+++ b/src/sidecar/dispatch-task.ts
@@ -15,13 +15,20 @@
 import type { Instance } from '../core/directory/instance.js';
 import type { CodeName } from '../core/errors/registry.js';
 import type { Dialect } from '../core/exchange/dialect.js';
-import type { GateLoad, MeshCall, MeshOutcome, MeshReply } from '../core/exchange/mesh-call.js';
+import {
+  refusedOutcome,
+  type GateLoad,
+  type MeshCall,
+  type MeshOutcome,
+  type MeshReply,
+} from '../core/exchange/mesh-call.js';
 import type { Log } from '../core/logs/log-entry.js';
 import type { Clock, Milliseconds } from '../core/model/time.js';
 import type { ServiceProfile } from '../core/policy/policy.js';
 import { reportViolations, type ViolationReporter } from '../core/promises/report.js';
 import { assertPromise } from '../core/promises/violation.js';
 import { Task } from '../core/task/task.js';
+import { setCoarseTimeout } from './coarse-timeout.js';
 import type { ExchangeEnd } from './backend-exchange.js';
 import { BackendMonitor } from './backend-monitor.js';
 import { BackendSender, type RunningCall } from './backend-sender.js';
@@ -45,7 +52,7 @@
   /** Pressure of the services that the backend server calls, from 0 to 1. */
   readonly downstreamPressure: () => number;
   readonly onBackendCrash: (fingerprints: readonly string[]) => void;
-  readonly onCompleted: (fingerprint: string) => void;
+  readonly onCompleted: (call: MeshCall) => void;
   readonly onReply: (code: CodeName) => void;
   /** Called when the assertion of a promise fails. */
   readonly onViolation: ViolationReporter;
@@ -208,7 +215,7 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const now = this.#options.clock.now();
-    const timer = setTimeout(() => this.#expire(callId), Math.max(0, call.timeLeftMs));
+    const timer = setCoarseTimeout(() => this.#expire(callId), call.timeLeftMs);
     const deadline = now + call.timeLeftMs;
     this.#pendingCalls.set(callId, { call, arrivedAt: now, deadline, reply, timer });
     this.#options.checkPause();
@@ -251,7 +258,7 @@
   #admit(callId: CallId, call: MeshCall): void {
     const mismatch = this.#findMismatch(call);
     if (mismatch !== null) {
-      this.#reply(callId, this.#refusal(mismatch, false));
+      this.#reply(callId, refusedOutcome(mismatch));
       return;
     }
     const { rank, objectiveLeftMs, timeLeftMs } = call;
@@ -329,11 +336,11 @@
       this.#task.send({ kind: 'ended', callId, end: 'failed' });
       return;
     }
-    this.#monitor.observeExchange(found.call.fingerprint, end);
+    this.#monitor.observeExchange(found.call, end);
     if (run !== undefined) this.#notices.applyExchange(end, found.call.instance, run.startedAt);
     switch (end.kind) {
       case 'answered':
-        this.#options.onCompleted(found.call.fingerprint);
+        this.#options.onCompleted(found.call);
         this.#reply(callId, {
           kind: 'answered',
           status: end.head.status,
@@ -344,12 +351,12 @@
         break;
       case 'shed': {
         const code = end.head.isMisdirected ? 'instanceReplaced' : 'serverShed';
-        this.#reply(callId, this.#refusal(code, !end.head.isMisdirected));
+        this.#reply(callId, refusedOutcome(code, !end.head.isMisdirected));
         this.#task.send({ kind: 'ended', callId, end: 'shed' });
         break;
       }
       case 'unsent':
-        this.#reply(callId, this.#refusal(end.code, false));
+        this.#reply(callId, refusedOutcome(end.code));
         this.#task.send({ kind: 'ended', callId, end: 'failed' });
         break;
       case 'failed':
@@ -374,17 +381,9 @@
   #expire(callId: CallId): void {
     const run = this.#runningCalls.get(callId);
     if (run === undefined) {
-      this.#reply(callId, this.#refusal('deadlineUnreachable', false));
+      this.#reply(callId, refusedOutcome('deadlineUnreachable'));
       this.#task.send({ kind: 'cancelled', callId });
-      return;
-    }
-    setTimeout(() => {
-      if (this.#runningCalls.has(callId)) run.exchange.abort('deadlinePassed');
-    }, DEADLINE_GRACE_MS);
-  }
-
-  #refusal(code: CodeName, wasOffered: boolean): MeshOutcome {
-    return { kind: 'refused', code, retryAfterMs: 0, wasOffered };
+    } else setTimeout(() => run.exchange.abort('deadlinePassed'), DEADLINE_GRACE_MS);
   }
 
   #removePending(callId: CallId): PendingCall | null {
--- a/src/sidecar/entry-task.ts
+++ b/src/sidecar/entry-task.ts
@@ -30,8 +30,10 @@
   recordServiceTime,
   type ServiceTime,
 } from '../core/placement/service-time.js';
-import type { GateCall } from './gate-call.js';
-import { PlacedRequest } from './placed-request.js';
+import { setCoarseTimeout } from './coarse-timeout.js';
+import type { GateCall, ResultHandler } from './gate-call.js';
+import type { LinkResult } from './mesh-link.js';
+import { PlacedRequest, type AnswerHandler } from './placed-request.js';
 import type { ReadBarrier } from './read-barrier.js';
 
 /** Options of the entry. */
@@ -45,7 +47,8 @@
   /** Service of the own backend server, recorded as the origin of all requests at this entry. */
   readonly origin: ServiceName;
   readonly view: AdmissionView;
-  readonly send: (instance: Instance, call: MeshCall) => GateCall;
+  /** Sends a call to a gate, which may refuse it before this returns. */
+  readonly send: (instance: Instance, call: MeshCall, receive: ResultHandler) => GateCall;
   readonly isReachable: (instance: Instance) => boolean;
   /** @returns whether the retry budget of the service granted one more retry */
   readonly acquireRetry: (service: ServiceName) => boolean;
@@ -57,7 +60,6 @@
 
 /** A request in progress, which its owner can cancel. */
 export interface Exchange {
-  readonly outcome: Promise<MeshOutcome>;
   /** Cancels the request, for a caller that no longer waits for the answer. */
   readonly cancel: () => void;
 }
@@ -116,19 +118,21 @@
    *
    * @param request - the complete request
    * @param arrivedAt - when its header section arrived
+   * @param answer - takes the answer, at once when a filter refuses the request
    * @returns the request in progress
    */
-  handle(request: IncomingRequest, arrivedAt: Instant): Exchange {
+  handle(request: IncomingRequest, arrivedAt: Instant, answer: AnswerHandler): Exchange {
     const { view, origin } = this.#options;
     return admitRequest(view, request, origin, arrivedAt).match(
-      (admitted) => this.#place(admitted),
+      (admitted) => this.#place(admitted, answer),
       ({ code, retryAfterMs, details }) => {
         const outcome: MeshOutcome = { kind: 'refused', code, retryAfterMs, wasOffered: false };
         this.#logEnd(request.requestId ?? '', outcome, arrivedAt, {
           path: request.path,
           ...details,
         });
-        return { outcome: Promise.resolve(outcome), cancel: () => {} };
+        answer(outcome);
+        return { cancel: () => {} };
       },
     );
   }
@@ -143,23 +147,16 @@
     });
   }
 
-  #place(admitted: AdmittedRequest): Exchange {
-    const placed = new PlacedRequest(admitted);
+  #place(admitted: AdmittedRequest, answer: AnswerHandler): Exchange {
+    const placed = new PlacedRequest(admitted, answer);
     this.#open.add(placed);
     this.#options.onAdmitted(admitted.service);
     const leftMs = admitted.deadline - this.#options.clock.now() + DEADLINE_GRACE_MS;
     placed.setTimer(
-      setTimeout(() => this.#end(placed, this.#timeoutOutcome(placed)), Math.max(0, leftMs)),
+      setCoarseTimeout(() => this.#end(placed, this.#timeoutOutcome(placed)), leftMs),
     );
-    this.#sendUntilFinal(placed).then(
-      (outcome) => this.#end(placed, outcome),
-      (error: unknown) => {
-        const reason = error instanceof Error ? error.message : String(error);
-        this.#options.log.write({ kind: 'event', code: 'internal', details: { reason } });
-        this.#end(placed, { kind: 'failed', code: 'internal' });
-      },
-    );
-    return { outcome: placed.outcome, cancel: () => this.#cancel(placed) };
+    this.#scheduleSend(placed);
+    return { cancel: () => this.#cancel(placed) };
   }
 
   #end(placed: PlacedRequest, outcome: MeshOutcome): void {
@@ -205,25 +202,46 @@
     return isNotRun;
   }
 
-  async #sendUntilFinal(placed: PlacedRequest): Promise<MeshOutcome> {
+  /** Sends a request after the departures of callers that are readable have been read. */
+  #scheduleSend(placed: PlacedRequest): void {
+    this.#options.readBarrier.run(() => this.#endOnError(placed, () => this.#sendNext(placed)));
+  }
+
+  /** Runs a step of a request, whose caller gets an answer also when the step throws. */
+  #endOnError(placed: PlacedRequest, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.#options.log.write({ kind: 'event', code: 'internal', details: { reason } });
+      this.#end(placed, { kind: 'failed', code: 'internal' });
+    }
+  }
+
+  #sendNext(placed: PlacedRequest): void {
+    if (placed.isEnded) return;
+    const chosen = this.#chooseInstance(placed);
+    if (chosen === null) this.#end(placed, finalOutcome(placed.history));
+    else this.#send(placed, chosen);
+  }
+
+  #receive(placed: PlacedRequest, instance: Instance, result: LinkResult): void {
+    placed.setCurrent(null);
+    if (placed.isEnded) return;
     const { admitted } = placed;
+    this.#recordResult(admitted, instance, result);
     const { repeatability, attempts } = admitted.route;
-    for (;;) {
-      // Sends are sequential, since each depends on the result of the previous one.
-      // eslint-disable-next-line no-await-in-loop
-      await this.#options.readBarrier.wait();
-      if (placed.isEnded) return finalOutcome(placed.history);
-      const chosen = this.#chooseInstance(placed);
-      if (chosen === null) return finalOutcome(placed.history);
-      // eslint-disable-next-line no-await-in-loop
-      const result = await this.#sendOnce(placed, chosen);
-      if (placed.isEnded) return finalOutcome(placed.history);
-      const next = decideNextStep(placed.history, result, { repeatability, attempts });
-      placed.setHistory(next.history);
-      if (next.kind === 'answer') return next.outcome;
-      const canResend = this.#hasTimeLeft(admitted) && this.#acquireRetry(next.kind, admitted);
-      if (!canResend) return finalOutcome(next.history);
+    const sent: SendResult =
+      result.kind === 'replied' ? { kind: 'replied', outcome: result.reply.outcome } : result;
+    const next = decideNextStep(placed.history, sent, { repeatability, attempts });
+    placed.setHistory(next.history);
+    if (next.kind === 'answer') {
+      this.#end(placed, next.outcome);
+      return;
     }
+    const canResend = this.#hasTimeLeft(admitted) && this.#acquireRetry(next.kind, admitted);
+    if (canResend) this.#scheduleSend(placed);
+    else this.#end(placed, finalOutcome(next.history));
   }
 
   #hasTimeLeft({ deadline }: AdmittedRequest): boolean {
@@ -250,10 +268,7 @@
     });
   }
 
-  async #sendOnce(
-    placed: PlacedRequest,
-    { instance, scoreMs }: ScoredInstance,
-  ): Promise<SendResult> {
+  #send(placed: PlacedRequest, { instance, scoreMs }: ScoredInstance): void {
     const { admitted, tried } = placed;
     const { log, send } = this.#options;
     placed.recordSend(instance);
@@ -273,16 +288,17 @@
         },
       });
     }
-    const gateCall = send(instance, this.#buildCall(admitted, instance));
-    placed.setCurrent({ call: gateCall, instance });
-    const result = await gateCall.result;
-    placed.setCurrent(null);
-    if (!placed.isEnded) this.#recordResult(admitted, instance, result);
-    return result.kind === 'replied' ? { kind: 'replied', outcome: result.reply.outcome } : result;
+    let isOver = false;
+    const call = send(instance, this.#buildCall(admitted, instance), (result) => {
+      isOver = true;
+      this.#endOnError(placed, () => this.#receive(placed, instance, result));
+    });
+    // A gate that refuses the call at once has given its result by now.
+    if (!isOver) placed.setCurrent({ call, instance });
   }
 
   #buildCall(admitted: AdmittedRequest, instance: Instance): MeshCall {
-    const { request, route, account, rank, service, fingerprint, arrivedAt } = admitted;
+    const { request, route, account, rank, service, arrivedAt } = admitted;
     const now = this.#options.clock.now();
     return {
       requestId: admitted.requestId,
@@ -295,7 +311,6 @@
       repeatability: route.repeatability,
       timeLeftMs: admitted.deadline - now,
       objectiveLeftMs: route.latencyObjectiveMs - (now - arrivedAt),
-      fingerprint,
       method: request.method,
       path: request.path,
       headers: request.headers,
@@ -311,11 +326,7 @@
     this.#gateViews.set(id, view);
   }
 
-  #recordResult(
-    admitted: AdmittedRequest,
-    instance: Instance,
-    result: Awaited<GateCall['result']>,
-  ): void {
+  #recordResult(admitted: AdmittedRequest, instance: Instance, result: LinkResult): void {
     const now = this.#options.clock.now();
     const view = this.#viewOf(instance);
     switch (result.kind) {
--- a/src/sidecar/fleet-tasks.ts
+++ b/src/sidecar/fleet-tasks.ts
@@ -1,3 +1,9 @@
+import {
+  computeFingerprint,
+  fingerprintOfCall,
+  type FingerprintedRequest,
+} from '../core/exchange/fingerprint.js';
+import type { MeshCall } from '../core/exchange/mesh-call.js';
 import type { SidecarSettings } from '../core/settings/sidecar-settings.js';
 import { CrashTask } from '../runtime/crash-task.js';
 import { newIncarnation } from '../runtime/request-ids.js';
@@ -68,6 +74,26 @@
     });
   }
 
+  /**
+   * Checks whether a request is refused because equal ones crashed backend servers.
+   *
+   * @param request - the request
+   * @returns whether its fingerprint is quarantined
+   */
+  isQuarantined(request: FingerprintedRequest): boolean {
+    return this.crashes.hasRecords && this.crashes.isQuarantined(computeFingerprint(request));
+  }
+
+  /**
+   * Records that a backend server completed a call, which clears it of earlier crashes.
+   *
+   * @param call - the call
+   */
+  recordCompletion(call: MeshCall): void {
+    if (!this.crashes.hasRecords) return;
+    this.crashes.send({ kind: 'completed', fingerprint: fingerprintOfCall(call) });
+  }
+
   /** Stops the timers. */
   close(): void {
     [this.loadExchange, this.quotas, this.crashes].forEach((task) => task.close());
--- a/src/sidecar/gate-call.ts
+++ b/src/sidecar/gate-call.ts
@@ -1,29 +1,29 @@
 import { afterDelay, type MeshCall } from '../core/exchange/mesh-call.js';
 import type { Clock } from '../core/model/time.js';
 import type { DispatchTask } from './dispatch-task.js';
-import type { LinkResult } from './mesh-link.js';
+import type { LinkResult, MeshLink } from './mesh-link.js';
 import type { MeshTask } from './mesh-task.js';
 
 /** A call in flight at a gate. */
 export interface GateCall {
-  readonly result: Promise<LinkResult>;
   /** Cancels the call, and returns whether it certainly has not run and will not run. */
   readonly cancel: () => boolean;
 }
 
+/** Takes the result of a call; called once, unless the call is cancelled before. */
+export type ResultHandler = (result: LinkResult) => void;
+
 /**
  * Submits a call to the gate of this node.
  *
  * @param gate - the gate
  * @param call - the call
+ * @param receive - takes the result, at once when the gate refuses the call
  * @returns the call in flight
  */
-export function callOwnGate(gate: DispatchTask, call: MeshCall): GateCall {
-  let callId = 0;
-  const result = new Promise<LinkResult>((resolve) => {
-    callId = gate.submit(call, (reply) => resolve({ kind: 'replied', reply }));
-  });
-  return { result, cancel: () => gate.cancel(callId) };
+export function callOwnGate(gate: DispatchTask, call: MeshCall, receive: ResultHandler): GateCall {
+  const callId = gate.submit(call, (reply) => receive({ kind: 'replied', reply }));
+  return { cancel: () => gate.cancel(callId) };
 }
 
 /** The links to other nodes, and the clock of this one. */
@@ -32,37 +32,57 @@
   readonly clock: Clock;
 }
 
-/**
- * Sends a call to the gate of another node.
- *
- * @param options - the links and the clock
- * @param address - peer address of the node
- * @param call - the call
- * @returns the call in flight
- */
-export function callPeerGate(
+function callOverLink(link: MeshLink, call: MeshCall, receive: ResultHandler): GateCall {
+  const number = link.call(call, receive);
+  return {
+    cancel: () => {
+      link.cancel(number);
+      return false;
+    },
+  };
+}
+
+/** Opens a link for a call, which may be cancelled meanwhile. */
+function callOverNewLink(
   { mesh, clock }: PeerGateOptions,
   address: string,
   call: MeshCall,
+  receive: ResultHandler,
 ): GateCall {
   const builtAt = clock.now();
   let isCancelled = false;
-  let isSent = false;
-  let cancelOnLink = (): void => {};
-  const start = async (): Promise<LinkResult> => {
-    const link = mesh.findOpenLink(address) ?? (await mesh.findOrOpenLink(address));
-    if (link === null || isCancelled) return { kind: 'unsent' };
-    isSent = true;
-    const { number, result } = link.call(afterDelay(call, clock.now() - builtAt));
-    cancelOnLink = () => link.cancel(number);
-    return result;
+  let sent: GateCall | null = null;
+  const send = (link: MeshLink | null): void => {
+    if (isCancelled) return;
+    if (link === null) receive({ kind: 'unsent' });
+    else sent = callOverLink(link, afterDelay(call, clock.now() - builtAt), receive);
   };
+  void mesh.findOrOpenLink(address).then(send);
   return {
-    result: start(),
     cancel: () => {
       isCancelled = true;
-      cancelOnLink();
-      return !isSent;
+      return sent === null || sent.cancel();
     },
   };
 }
+
+/**
+ * Sends a call to the gate of another node.
+ *
+ * @param options - the links and the clock
+ * @param address - peer address of the node
+ * @param call - the call
+ * @param receive - takes the result
+ * @returns the call in flight
+ */
+export function callPeerGate(
+  options: PeerGateOptions,
+  address: string,
+  call: MeshCall,
+  receive: ResultHandler,
+): GateCall {
+  const link = options.mesh.findOpenLink(address);
+  return link === null
+    ? callOverNewLink(options, address, call, receive)
+    : callOverLink(link, call, receive);
+}
--- a/src/sidecar/gate-caller.ts
+++ b/src/sidecar/gate-caller.ts
@@ -2,7 +2,13 @@
 import type { Instance } from '../core/directory/instance.js';
 import type { MeshCall } from '../core/exchange/mesh-call.js';
 import type { DispatchTask } from './dispatch-task.js';
-import { callOwnGate, callPeerGate, type GateCall, type PeerGateOptions } from './gate-call.js';
+import {
+  callOwnGate,
+  callPeerGate,
+  type GateCall,
+  type PeerGateOptions,
+  type ResultHandler,
+} from './gate-call.js';
 import type { PeerTable } from './peer-table.js';
 
 /** Ways to the gates of backend servers. */
@@ -32,13 +38,14 @@
    *
    * @param instance - the backend server
    * @param call - the call
+   * @param receive - takes the result
    * @returns the call in flight
    */
-  call(instance: Instance, call: MeshCall): GateCall {
+  call(instance: Instance, call: MeshCall, receive: ResultHandler): GateCall {
     const { gate, ownAddress } = this.#options;
     return instance.address === ownAddress
-      ? callOwnGate(gate, call)
-      : callPeerGate(this.#options, this.#peerAddressOf(instance), call);
+      ? callOwnGate(gate, call, receive)
+      : callPeerGate(this.#options, this.#peerAddressOf(instance), call, receive);
   }
 
   /**
--- a/src/sidecar/mesh-link.ts
+++ b/src/sidecar/mesh-link.ts
@@ -137,23 +137,24 @@
    * Sends a call.
    *
    * @param call - the call
-   * @returns the number of the call, for `cancel`, and its outcome
+   * @param receive - takes its outcome, unless the call is cancelled before
+   * @returns the number of the call, for `cancel`
    */
-  call(call: MeshCall): { readonly number: CallNumber; readonly result: Promise<LinkResult> } {
+  call(call: MeshCall, receive: (result: LinkResult) => void): CallNumber {
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    if (!this.send({ kind: 'call', number, call, sentAt: this.#options.clock.now() })) {
-      return { number, result: Promise.resolve({ kind: 'unsent' }) };
+    const sentAt = this.#options.clock.now();
+    if (!this.send({ kind: 'call', number, call, sentAt })) {
+      receive({ kind: 'unsent' });
+      return number;
     }
-    if (this.#pendingCalls.size === 0) this.#lastReceivedAt = this.#options.clock.now();
-    const result = new Promise<LinkResult>((resolve) => {
-      this.#pendingCalls.set(number, resolve);
-    });
-    return { number, result };
+    if (this.#pendingCalls.size === 0) this.#lastReceivedAt = sentAt;
+    this.#pendingCalls.set(number, receive);
+    return number;
   }
 
   /**
-   * Cancels a call in flight and informs the peer. The promise of its result stays pending.
+   * Cancels a call in flight and informs the peer. Its outcome is not reported.
    *
    * @param number - the number of the call
    */
@@ -241,7 +242,7 @@
         return;
       case 'reply':
         this.#lastUsedAt = now;
-        this.#resolveCall(frame.number, { kind: 'replied', reply: frame.reply });
+        this.#endCall(frame.number, { kind: 'replied', reply: frame.reply });
         return;
       default:
         if (frame.kind === 'hello') this.#lateCallFilter.recordHello(frame.sentAt);
@@ -250,10 +251,10 @@
     }
   }
 
-  #resolveCall(number: CallNumber, result: LinkResult): void {
-    const resolve = this.#pendingCalls.get(number);
+  #endCall(number: CallNumber, result: LinkResult): void {
+    const receive = this.#pendingCalls.get(number);
     this.#pendingCalls.delete(number);
-    resolve?.(result);
+    receive?.(result);
   }
 
   #close(reason: string, isFault = true): void {
@@ -261,7 +262,7 @@
     this.#isClosed = true;
     this.#options.connection.close();
     this.#lateCallFilter.close();
-    [...this.#pendingCalls.keys()].forEach((number) => this.#resolveCall(number, { kind: 'lost' }));
+    [...this.#pendingCalls.keys()].forEach((number) => this.#endCall(number, { kind: 'lost' }));
     this.#options.onEvent({ kind: 'closed', reason, isFault }, this);
   }
 }
--- a/src/sidecar/placed-request.ts
+++ b/src/sidecar/placed-request.ts
@@ -10,17 +10,17 @@
   readonly instance: Instance;
 }
 
+/** Takes the answer of a request; called once, unless the request is cancelled before. */
+export type AnswerHandler = (outcome: MeshOutcome) => void;
+
 /** State of one request from its admission to its answer. */
 export class PlacedRequest {
   readonly admitted: AdmittedRequest;
 
-  /** Resolves with the answer; never resolves if the caller disconnects first. */
-  readonly outcome: Promise<MeshOutcome>;
+  readonly #answer: AnswerHandler;
 
   readonly #tried = new Set<string>();
 
-  #resolve: (outcome: MeshOutcome) => void = () => {};
-
   #timer: NodeJS.Timeout | null = null;
 
   #current: CurrentCall | null = null;
@@ -31,12 +31,11 @@
 
   /**
    * @param admitted - the request, which has passed all filters
+   * @param answer - takes its answer
    */
-  constructor(admitted: AdmittedRequest) {
+  constructor(admitted: AdmittedRequest, answer: AnswerHandler) {
     this.admitted = admitted;
-    this.outcome = new Promise((resolve) => {
-      this.#resolve = resolve;
-    });
+    this.#answer = answer;
   }
 
   /** @returns whether the request was answered or cancelled */
@@ -99,7 +98,7 @@
     if (this.#isEnded) return false;
     this.#isEnded = true;
     if (this.#timer !== null) clearTimeout(this.#timer);
-    if (outcome !== null) this.#resolve(outcome);
+    if (outcome !== null) this.#answer(outcome);
     return true;
   }
 }
--- a/src/sidecar/request-bodies.ts
+++ b/src/sidecar/request-bodies.ts
@@ -31,8 +31,6 @@
   readonly timeLimit: () => Milliseconds | null;
 }
 
-const EMPTY_BODY = new Uint8Array();
-
 /**
  * Mean size of the chunks from which a body can be held back. Node.js reads ahead up to 64 KiB of a
  * body that is paused, and keeps a buffer of a hundred bytes or more for each of its chunks; from
@@ -86,7 +84,17 @@
   }
 
   /**
-   * Reads the body of a request.
+   * Checks whether a request has a body.
+   *
+   * @param request - the request
+   * @returns whether a body follows the head of the request
+   */
+  static hasBody({ headers }: IncomingMessage): boolean {
+    return 'content-length' in headers || 'transfer-encoding' in headers;
+  }
+
+  /**
+   * Reads the body of a request that has one.
    *
    * @param request - the request
    * @param options - limits of its body
@@ -97,15 +105,10 @@
     options: BodyReadOptions,
     onResult: (result: BodyResult) => void,
   ): void {
-    const { headers } = request;
-    if (Number(headers['content-length'] ?? 0) > options.maxBytes) {
+    if (Number(request.headers['content-length'] ?? 0) > options.maxBytes) {
       request.resume();
       onResult({ kind: 'too-large' });
-    } else if ('content-length' in headers || 'transfer-encoding' in headers) {
-      this.#readChunks(request, options, onResult);
-    } else {
-      onResult({ kind: 'complete', body: EMPTY_BODY, release: () => {} });
-    }
+    } else this.#readChunks(request, options, onResult);
   }
 
   #readChunks(
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -9,6 +9,7 @@
 import { AnswerBuffer } from './answer-buffer.js';
 import { CallerConnection, type CompleteRequest } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
+import type { AnswerHandler } from './placed-request.js';
 import { RequestBodies } from './request-bodies.js';
 
 /** Options of the listener. */
@@ -21,7 +22,11 @@
   readonly maxUnreadBytes: number;
   /** Limit of the connections of callers. */
   readonly maxConnections: number;
-  readonly handle: (request: IncomingRequest, arrivedAt: Instant) => Exchange;
+  readonly handle: (
+    request: IncomingRequest,
+    arrivedAt: Instant,
+    answer: AnswerHandler,
+  ) => Exchange;
   /** @returns time from the head of a request to its deadline; null when it is not known */
   readonly timeLimit: (head: IncomingHead) => Milliseconds | null;
   /** @returns whether requests wait until `release`, in case their callers left during a pause */
@@ -34,6 +39,9 @@
 }
 
 const EMPTY_BODY = new Uint8Array();
+
+function releaseNothing(): void {}
+
 const MAX_HEADER_BYTES = 65_536;
 
 /** Limit of a request body until the first policy is known. */
@@ -123,7 +131,7 @@
       clock,
       socket,
       conditions: () => ({ isHeld: isHeld(), isStopping: isStopping() }),
-      handle: (request) => this.#handle(request),
+      handle: (request, answer) => this.#handle(request, answer),
       unreadAnswers: this.#unreadAnswers,
       onUnread: () => onConnectionClosed('answerUnread'),
     });
@@ -150,13 +158,24 @@
 
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
+    if (connection === undefined) return;
     const arrivedAt = this.#options.clock.now();
-    const maxBytes = this.#limits?.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
     const head = this.#readHead(request);
+    const bodiless = { head, response, body: EMPTY_BODY, arrivedAt, release: releaseNothing };
+    if (RequestBodies.hasBody(request)) this.#readBody(request, bodiless, connection);
+    else connection.receive(bodiless);
+  }
+
+  #readBody(
+    request: IncomingMessage,
+    bodiless: CompleteRequest,
+    connection: CallerConnection,
+  ): void {
+    const { head } = bodiless;
+    const maxBytes = this.#limits?.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
     const refuse = (code: CodeName): void => {
       this.#options.onUnreadRefusal(code);
-      const unread = { head, response, body: EMPTY_BODY, arrivedAt, release: () => {} };
-      connection?.refuse(unread, code);
+      connection.refuse(bodiless, code);
     };
     // A body for which no route sets a time limit ends with the time of an idle connection.
     const timeLimit = (): Milliseconds | null =>
@@ -165,9 +184,7 @@
       switch (result.kind) {
         case 'complete': {
           const { body, release } = result;
-          const complete: CompleteRequest = { head, response, body, arrivedAt, release };
-          if (connection === undefined) release();
-          else connection.receive(complete);
+          connection.receive({ ...bodiless, body, release });
           break;
         }
         case 'too-large':
@@ -180,8 +197,8 @@
     });
   }
 
-  #handle({ head, body, arrivedAt }: CompleteRequest): Exchange {
-    return this.#options.handle({ ...head, body }, arrivedAt);
+  #handle({ head, body, arrivedAt }: CompleteRequest, answer: AnswerHandler): Exchange {
+    return this.#options.handle({ ...head, body }, arrivedAt, answer);
   }
 
   #readHead({ method = 'GET', url = '/', rawHeaders }: IncomingMessage): IncomingHead {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -151,7 +151,7 @@
       maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
       maxUnreadBytes: settings.memoryBytes * ANSWER_MEMORY_SHARE,
       maxConnections: Math.floor(settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE),
-      handle: (request, arrivedAt) => this.#entry.handle(request, arrivedAt),
+      handle: (request, arrivedAt, answer) => this.#entry.handle(request, arrivedAt, answer),
       timeLimit: (head) => findTimeLimit(this.#controlPath.policy.lookup, head),
       isHeld: () => this.#pauseWatch.check(),
       isStopping: () => this.#plannedStop !== null,
@@ -316,7 +316,7 @@
       processorWatch: this.#processorWatch,
       downstreamPressure: () => this.#fleet.loads.downstreamPressure,
       onBackendCrash: (fingerprints) => this.#fleet.crashes.recordCrash(fingerprints),
-      onCompleted: (fingerprint) => this.#fleet.crashes.send({ kind: 'completed', fingerprint }),
+      onCompleted: (call) => this.#fleet.recordCompletion(call),
       onReply: (code) => this.#metrics.gateAnswers.inc({ code }),
       onViolation: (violation) => {
         this.#metrics.brokenPromises.inc({ promise: violation.promise });
@@ -344,13 +344,13 @@
       view: {
         lookup: () => this.#controlPath.policy.lookup,
         canServeUntil: (deadline) => canServeUntil(this.#plannedStop, deadline, clock.now()),
-        isQuarantined: (fingerprint) => this.#fleet.crashes.isQuarantined(fingerprint),
+        isQuarantined: (request) => this.#fleet.isQuarantined(request),
         spendQuota: (account) => this.#fleet.quotas.spendToken(account),
         limitLoad: (route, rank) => this.#fleet.loads.limit({ route, rank }),
         chooseService: (route) => this.#controlPath.policy.chooseService(route),
         retryDelayMs: (route) => this.#fleet.loads.chooseRetryAfterMs(route),
       },
-      send: (instance, call) => gates.call(instance, call),
+      send: (instance, call, receive) => gates.call(instance, call, receive),
       isReachable: (instance) => gates.isReachable(instance),
       acquireRetry: (service) => {
         const isGranted = this.#fleet.retries.acquire(service);
--- a/test/sidecar/caller-disconnect.test.ts
+++ b/test/sidecar/caller-disconnect.test.ts
@@ -5,7 +5,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { httpDialect } from '../../platform/http-dialect.js';
 import type { IncomingRequest } from '../../src/core/exchange/incoming-request.js';
-import type { MeshOutcome } from '../../src/core/exchange/mesh-call.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
 import type { Exchange } from '../../src/sidecar/entry-task.js';
 import { RequestListener } from '../../src/sidecar/request-listener.js';
@@ -28,10 +27,7 @@
   const cancelled: string[] = [];
   const handle = ({ requestId }: IncomingRequest): Exchange => {
     received.push(requestId ?? '');
-    return {
-      outcome: new Promise<MeshOutcome>(() => {}),
-      cancel: () => cancelled.push(requestId ?? ''),
-    };
+    return { cancel: () => cancelled.push(requestId ?? '') };
   };
   const listener = new RequestListener({
     clock: monotonicClock,
--- a/test/sidecar/front-end.ts
+++ b/test/sidecar/front-end.ts
@@ -2,10 +2,10 @@
 import type { TestContext } from 'node:test';
 import { httpDialect } from '../../platform/http-dialect.js';
 import type { IncomingRequest } from '../../src/core/exchange/incoming-request.js';
-import type { MeshOutcome } from '../../src/core/exchange/mesh-call.js';
 import type { CallerLimits } from '../../src/core/policy/policy.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
 import type { Exchange } from '../../src/sidecar/entry-task.js';
+import type { AnswerHandler } from '../../src/sidecar/placed-request.js';
 import { RequestListener } from '../../src/sidecar/request-listener.js';
 import { listenOn } from '../../standin/host-process.js';
 
@@ -48,17 +48,17 @@
 export async function startFrontEnd(context: TestContext): Promise<FrontEnd> {
   const handled: string[] = [];
   const cancelled: string[] = [];
-  const pending = new Map<string, (outcome: MeshOutcome) => void>();
+  const pending = new Map<string, AnswerHandler>();
   let isStopping = false;
   let isHeld = false;
-  const handle = ({ path }: IncomingRequest): Exchange => {
+  const handle = (
+    { path }: IncomingRequest,
+    _arrivedAt: number,
+    answer: AnswerHandler,
+  ): Exchange => {
     handled.push(path);
-    return {
-      outcome: new Promise((resolve) => {
-        pending.set(path, resolve);
-      }),
-      cancel: () => cancelled.push(path),
-    };
+    pending.set(path, answer);
+    return { cancel: () => cancelled.push(path) };
   };
   const listener = new RequestListener({
     clock: monotonicClock,
--- a/test/sidecar/gate.ts
+++ b/test/sidecar/gate.ts
@@ -31,7 +31,6 @@
     repeatability,
     timeLeftMs: 3000,
     objectiveLeftMs: 2000,
-    fingerprint: requestId,
     method: 'GET',
     path: '/order/1',
     headers: [],
--- a/test/sidecar/large-frame.test.ts
+++ b/test/sidecar/large-frame.test.ts
@@ -26,7 +26,7 @@
     readBarrier: new ReadBarrier(clock),
     onEvent: ({ kind }) => events.push(kind),
   });
-  void link.call({} as MeshCall);
+  link.call({} as MeshCall, () => {});
   const passTime = (bytesPerCheck: number): void => {
     for (let check = 0; check < 20; check += 1) {
       state.now += 200;
--- a/test/sidecar/late-link.test.ts
+++ b/test/sidecar/late-link.test.ts
@@ -4,8 +4,9 @@
 import type { MeshCall, MeshOutcome } from '../../src/core/exchange/mesh-call.js';
 import { monotonicClock } from '../../src/runtime/monotonic-clock.js';
 import type { DispatchTask } from '../../src/sidecar/dispatch-task.js';
-import { callPeerGate, type GateCall } from '../../src/sidecar/gate-call.js';
+import { callPeerGate, type GateCall, type ResultHandler } from '../../src/sidecar/gate-call.js';
 import { GateServer } from '../../src/sidecar/gate-server.js';
+import type { LinkResult } from '../../src/sidecar/mesh-link.js';
 import type { MeshTask } from '../../src/sidecar/mesh-task.js';
 import { listenOn } from '../../standin/host-process.js';
 import type { PlatformBackend } from '../../standin/platform-backend.js';
@@ -19,10 +20,15 @@
 /** Longer than the time after which a link without a frame is given up. */
 const GIVE_UP_MS = 1600;
 
+/** A call in flight, and its result. */
+interface SentCall extends GateCall {
+  readonly result: Promise<LinkResult>;
+}
+
 interface LinkedPair {
   readonly proxy: LinkProxy;
   readonly backend: PlatformBackend;
-  readonly call: (call: MeshCall) => GateCall;
+  readonly call: (call: MeshCall) => SentCall;
 }
 
 function serveGate(gate: DispatchTask): MeshTask {
@@ -53,7 +59,14 @@
   return {
     proxy,
     backend,
-    call: (call) => callPeerGate({ mesh: entryMesh, clock: monotonicClock }, address, call),
+    call: (call) => {
+      let receive: ResultHandler = () => {};
+      const result = new Promise<LinkResult>((resolve) => {
+        receive = resolve;
+      });
+      const options = { mesh: entryMesh, clock: monotonicClock };
+      return { ...callPeerGate(options, address, call, receive), result };
+    },
   };
 }
 
@@ -65,7 +78,7 @@
   return pair;
 }
 
-async function outcomeOf({ result }: GateCall): Promise<MeshOutcome | null> {
+async function outcomeOf({ result }: SentCall): Promise<MeshOutcome | null> {
   const end = await result;
   return end.kind === 'replied' ? end.reply.outcome : null;
 }
