Start a call that finds a free slot without passing the queue

Cause: a call that could start at once was put into the queue and taken out again, over seven copies of lists and states; a request of a caller was copied three times into the state of its connection and stood in three maps, each of which Node.js rebuilds after a few insertions.

Change: a gate starts such a call directly, by the same conditions as from the queue. A connection keeps one record of a request.

--- a/src/core/dispatch/dispatch.ts
+++ b/src/core/dispatch/dispatch.ts
@@ -21,6 +21,7 @@
   isRootBelowRateShare,
   recentStarts,
   type StartRate,
+  type Starts,
 } from './start-rate.js';
 
 /** Share of the slots in use; some backend servers slow down when their last slots are taken. */
@@ -131,6 +132,8 @@
 
 const NO_RATES: readonly StartRate[] = [];
 
+const NO_STARTS: Starts = [];
+
 /** Lists the rates that limit the starts at present; the lowest one comes first. */
 function startRates(state: DispatchState): readonly StartRate[] {
   if (state.condition.kind !== 'cold' && state.startLimit.kind !== 'limited') return NO_RATES;
@@ -194,36 +197,45 @@
   }
 }
 
+function countRunningRoots({ running, runningNested }: DispatchState): number {
+  return running.size - runningNested;
+}
+
 /** Whether root requests use less than their reserved share. */
 function isRootBelowReserve(state: DispatchState, now: Instant): boolean {
   const [rate] = startRates(state);
   if (rate !== undefined) return isRootBelowRateShare(state.starts, rate, now);
-  const runningRoots = state.running.size - state.runningNested;
-  return runningRoots < Math.floor(dispatchLimit(state) * ROOT_RESERVED_SHARE);
+  return countRunningRoots(state) < Math.floor(dispatchLimit(state) * ROOT_RESERVED_SHARE);
+}
+
+/** Whether root requests hold their share of the slots. */
+function isRootLimitReached(state: DispatchState): boolean {
+  const limit = Math.max(1, Math.floor(dispatchLimit(state) * ROOT_MAX_SLOT_SHARE));
+  return countRunningRoots(state) >= limit;
 }
 
 /** Index of the queued call that starts next, or -1 when none may start. */
 function nextQueueIndex(state: DispatchState, now: Instant): number {
-  const limit = dispatchLimit(state);
-  const runningRoots = state.running.size - state.runningNested;
   const firstRoot = state.queue.findIndex(({ rank }) => !rank.isNested);
   if (firstRoot >= 0 && isRootBelowReserve(state, now)) return firstRoot;
-  const isRootLimitReached = runningRoots >= Math.max(1, Math.floor(limit * ROOT_MAX_SLOT_SHARE));
-  return state.queue.findIndex(({ rank }) => rank.isNested || !isRootLimitReached);
+  const isRootHeldBack = isRootLimitReached(state);
+  return state.queue.findIndex(({ rank }) => rank.isNested || !isRootHeldBack);
+}
+
+/** Whether a call starts without waiting. */
+function canStartAtOnce(state: DispatchState, { isNested }: Rank, now: Instant): boolean {
+  if (state.queue.length > 0 || !hasCapacity(state, now)) return false;
+  return isNested || isRootBelowReserve(state, now) || !isRootLimitReached(state);
 }
 
-function startCall(state: DispatchState, index: number, now: Instant): DispatchStep {
-  const queued = state.queue[index];
-  if (queued === undefined) return step(state);
-  const { callId, rank } = queued;
+function startCall(state: DispatchState, callId: CallId, rank: Rank, now: Instant): DispatchStep {
   const started: RunningCall = { isNested: rank.isNested, startedAt: now };
   const rates = startRates(state);
   const next: DispatchState = {
     ...state,
-    queue: state.queue.filter((_, at) => at !== index),
     running: state.running.set(callId, started),
     runningNested: state.runningNested + (rank.isNested ? 1 : 0),
-    starts: rates.length === 0 ? [] : [...recentStarts(state.starts, now), started],
+    starts: rates.length === 0 ? NO_STARTS : [...recentStarts(state.starts, now), started],
   };
   return step<DispatchState, DispatchEffect>(
     next,
@@ -239,6 +251,7 @@
 
 /** Refuses calls that have waited too long and starts as many others as there is capacity for. */
 function processQueue(state: DispatchState, now: Instant): DispatchStep {
+  if (state.queue.length === 0) return step(state);
   const expired = state.queue.filter(({ startBy }) => now >= startBy);
   const refusals = expired.map(({ callId }): DispatchEffect => ({
     kind: 'refuse',
@@ -253,8 +266,10 @@
   const effects: DispatchEffect[] = [...refusals];
   while (next.queue.length > 0 && hasCapacity(next, now)) {
     const index = nextQueueIndex(next, now);
-    if (index < 0) break;
-    const started = startCall(next, index, now);
+    const queued = next.queue[index];
+    if (queued === undefined) break;
+    const queue = next.queue.filter((_, at) => at !== index);
+    const started = startCall({ ...next, queue }, queued.callId, queued.rank, now);
     next = started.state;
     effects.push(...started.effects);
   }
@@ -317,6 +332,9 @@
   }
   if (timeLeftMs <= 0) return refuse('deadlineUnreachable', state);
   if (state.condition.kind === 'down') return refuse('connectFailed', state);
+  if (canStartAtOnce(state, rank, now)) {
+    return startCall(withPressure(state, 0, now), callId, rank, now);
+  }
   const share = rank.isNested ? NESTED_WAIT_SHARE : ROOT_WAIT_SHARE;
   const allowedMs = Math.min(Math.max(objectiveLeftMs, 0) * share, timeLeftMs);
   const found = state.queue.findIndex((other) => compareRanks(rank, other.rank) < 0);
--- a/src/core/exchange/caller-pipeline.ts
+++ b/src/core/exchange/caller-pipeline.ts
@@ -86,8 +86,12 @@
  */
 const MAX_HELD_BYTES = 2_000_000;
 
+const NO_REQUESTS: readonly PipelinedRequest[] = [];
+
+const NO_EFFECTS: readonly PipelineEffect[] = [];
+
 function countRunning({ requests }: CallerPipeline): number {
-  return requests.filter(({ stage }) => stage === 'running').length;
+  return requests.reduce((count, { stage }) => (stage === 'running' ? count + 1 : count), 0);
 }
 
 function countHeldBytes({ requests }: CallerPipeline): number {
@@ -124,43 +128,50 @@
 
 /** Writes the answers that no earlier request holds back, and the refusal behind them. */
 function writeAnswers(before: CallerPipeline, { isStopping }: PipelineConditions): PipelineStep {
-  const unanswered = before.requests.findIndex(({ stage }) => stage !== 'answered');
-  const ready = unanswered < 0 ? before.requests : before.requests.slice(0, unanswered);
-  const requests = before.requests.slice(ready.length);
   const { ending } = before;
+  const unanswered = before.requests.findIndex(({ stage }) => stage !== 'answered');
+  const ready = unanswered < 0 ? before.requests.length : unanswered;
+  const isAllReady = ready === before.requests.length;
+  const requests = isAllReady ? NO_REQUESTS : before.requests.slice(ready);
   const endsWithAnswer =
-    requests.length === 0 &&
-    ready.length > 0 &&
+    isAllReady &&
+    ready > 0 &&
     (ending.kind === 'last-answer' || (ending.kind === 'none' && isStopping));
-  const effects = ready.map(({ number }, index): PipelineEffect => ({
-    kind: 'write',
-    number,
-    isLast: endsWithAnswer && index === ready.length - 1,
-  }));
-  if (requests.length === 0 && ending.kind === 'refusal') {
+  const effects: readonly PipelineEffect[] =
+    ready === 0
+      ? NO_EFFECTS
+      : before.requests.slice(0, ready).map(({ number }, index) => ({
+          kind: 'write',
+          number,
+          isLast: endsWithAnswer && index === ready - 1,
+        }));
+  if (isAllReady && ending.kind === 'refusal') {
     const refusal: PipelineEffect = { kind: 'refuse', code: ending.code };
     return step({ requests, ending: { kind: 'closed' } }, ...effects, refusal);
   }
   const next: Ending = endsWithAnswer ? { kind: 'closed' } : ending;
-  return step({ requests, ending: next }, ...effects);
+  return { state: { requests, ending: next }, effects };
 }
 
 function readRequest(
   before: CallerPipeline,
   message: PipelineMessage & { readonly kind: 'request-read' },
 ): PipelineStep {
-  const { number, bytes, isLast, isStopping } = message;
+  const { number, bytes, isLast, isStopping, isHeld } = message;
   const { requests, ending } = before;
   const isUnread = ending.kind !== 'none' || (isStopping && requests.length > 0);
   if (isUnread) {
     const next: Ending = ending.kind === 'none' ? { kind: 'last-answer' } : ending;
     return step({ requests, ending: next }, { kind: 'discard', number });
   }
-  const added: CallerPipeline = {
-    requests: [...requests, { number, stage: 'waiting', bytes }],
-    ending: isLast ? { kind: 'last-answer' } : ending,
-  };
-  return startWaiting(added, message);
+  const next: Ending = isLast ? { kind: 'last-answer' } : ending;
+  // Most connections carry one request at a time.
+  if (requests.length === 0 && !isHeld) {
+    const running: PipelinedRequest = { number, stage: 'running', bytes };
+    return step({ requests: [running], ending: next }, { kind: 'handle', number });
+  }
+  const waiting: PipelinedRequest = { number, stage: 'waiting', bytes };
+  return startWaiting({ requests: [...requests, waiting], ending: next }, message);
 }
 
 function recordAnswer(
@@ -169,10 +180,10 @@
 ): PipelineStep {
   const requests = before.requests.map((request): PipelinedRequest =>
     request.number === message.number
-      ? { ...request, stage: 'answered', bytes: message.bytes }
+      ? { number: request.number, stage: 'answered', bytes: message.bytes }
       : request,
   );
-  const written = writeAnswers({ ...before, requests }, message);
+  const written = writeAnswers({ requests, ending: before.ending }, message);
   const started = startWaiting(written.state, message);
   return started.effects.length === 0
     ? written
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -12,25 +12,15 @@
   type PipelineMessage,
   type RequestNumber,
 } from '../core/exchange/caller-pipeline.js';
-import type { IncomingHead } from '../core/exchange/incoming-request.js';
 import { refusedOutcome, type MeshOutcome } from '../core/exchange/mesh-call.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 import type { AnswerBuffer, AnswerHold } from './answer-buffer.js';
 import { refuseUnread, writeAnswer } from './answer-writer.js';
 import type { Exchange } from './entry-task.js';
+import { OpenRequest, type CompleteRequest } from './open-request.js';
 import type { AnswerHandler } from './placed-request.js';
 
-/** A request that has been read completely. */
-export interface CompleteRequest {
-  readonly head: IncomingHead;
-  readonly response: ServerResponse;
-  readonly body: Uint8Array;
-  readonly arrivedAt: Instant;
-  /** Called once, when the request is answered, cancelled or discarded. */
-  readonly release: () => void;
-}
-
 /** Options of a connection. */
 export interface CallerConnectionOptions {
   readonly clock: Clock;
@@ -57,11 +47,7 @@
   readonly #pipeline: Task<CallerPipeline, PipelineMessage, PipelineEffect>;
 
   /** Requests whose answer has not been written. */
-  readonly #open = new Map<RequestNumber, CompleteRequest>();
-
-  readonly #exchanges = new Map<RequestNumber, Exchange>();
-
-  readonly #outcomes = new Map<RequestNumber, MeshOutcome>();
+  readonly #open = new Map<RequestNumber, OpenRequest>();
 
   readonly #openedAt: Instant;
 
@@ -174,8 +160,7 @@
     }
     const number = this.#nextNumber;
     this.#nextNumber += 1;
-    this.#open.set(number, request);
-    if (outcome !== null) this.#outcomes.set(number, outcome);
+    this.#open.set(number, new OpenRequest(request, outcome));
     this.#send({ kind: 'request-read', number, bytes, isLast });
   }
 
@@ -209,43 +194,36 @@
   }
 
   #handle(number: RequestNumber): void {
-    const request = this.#open.get(number);
-    if (request === undefined) return;
-    const known = this.#outcomes.get(number);
-    if (known !== undefined) {
-      this.#answer(number, known);
+    const open = this.#open.get(number);
+    if (open === undefined) return;
+    if (open.outcome !== null) {
+      this.#answer(number, open.outcome);
       return;
     }
-    const exchange = this.#options.handle(request, (outcome) => this.#answer(number, outcome));
-    // A request that is refused at once has been answered by now.
-    if (!this.#outcomes.has(number)) this.#exchanges.set(number, exchange);
+    open.start(this.#options.handle(open.request, (outcome) => this.#answer(number, outcome)));
   }
 
   #answer(number: RequestNumber, outcome: MeshOutcome): void {
-    const request = this.#open.get(number);
-    if (request === undefined) return;
-    request.release();
-    this.#exchanges.delete(number);
-    this.#outcomes.set(number, outcome);
+    const open = this.#open.get(number);
+    if (open === undefined) return;
+    open.answer(outcome);
     const bytes = outcomeBytes(outcome);
     this.#options.unreadAnswers.add(this, bytes);
     this.#send({ kind: 'answered', number, bytes });
   }
 
   #discard(number: RequestNumber): void {
-    this.#open.get(number)?.release();
+    this.#open.get(number)?.cancel();
     this.#open.delete(number);
-    this.#outcomes.delete(number);
   }
 
   #write(number: RequestNumber, isLast: boolean): void {
-    const request = this.#open.get(number);
-    const outcome = this.#outcomes.get(number);
+    const open = this.#open.get(number);
     this.#open.delete(number);
-    this.#outcomes.delete(number);
-    if (request === undefined || outcome === undefined) return;
+    const outcome = open?.outcome ?? null;
+    if (open === undefined || outcome === null) return;
     this.#usedAt = this.#options.clock.now();
-    const { response } = request;
+    const { response } = open.request;
     this.#lastResponse = response;
     if (!response.destroyed) this.#unwritten.add(response);
     // Also follows the end of a response that was written completely.
@@ -287,9 +265,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     const requests = [...this.#open.values()];
-    const exchanges = [...this.#exchanges.values()];
-    [this.#open, this.#exchanges, this.#outcomes].forEach((map) => map.clear());
-    requests.forEach((request) => request.release());
-    exchanges.forEach((exchange) => exchange.cancel());
+    this.#open.clear();
+    requests.forEach((open) => open.cancel());
   }
 }
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -7,8 +7,9 @@
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { CallerLimits } from '../core/policy/policy.js';
 import { AnswerBuffer } from './answer-buffer.js';
-import { CallerConnection, type CompleteRequest } from './caller-connection.js';
+import { CallerConnection } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
+import type { CompleteRequest } from './open-request.js';
 import type { AnswerHandler } from './placed-request.js';
 import { RequestBodies } from './request-bodies.js';
 
