Log messages as arguments, so that the logger keeps none of them

What operators would have seen: a node that grows with each configuration that it applies, by about 350 bytes for each line whose text is new.

Change: the format is always the same and the message its argument, which also keeps a percent sign in it from being taken for a placeholder.

--- a/src/runtime/roarr-log.ts
+++ b/src/runtime/roarr-log.ts
@@ -7,7 +7,7 @@
   type Details,
 } from '../core/errors/registry.js';
 import type { Log, LogEntry } from '../core/logs/log-entry.js';
-import { LineBuffer } from './line-buffer.js';
+import { LineBuffer, type LineOutput } from './line-buffer.js';
 
 function describe(code: CodeName, details: Details = {}): string {
   return `[${getResultCode(code).number}] ${formatCodeMessage(code, details)}`;
@@ -44,14 +44,21 @@
 
 type NodeLogger = typeof Roarr;
 
+/**
+ * The logger keeps each format string for ever, so a message is an argument and not a format: one
+ * with a number in it would take up memory for each value.
+ */
+const MESSAGE_FORMAT = '%s';
+
 function writeEntry(logger: NodeLogger, entry: LogEntry): void {
   const context = toContext(entry);
+  const message = messageOf(entry);
   switch (entry.kind) {
     case 'violation':
-      logger.error(context, messageOf(entry));
+      logger.error(context, MESSAGE_FORMAT, message);
       break;
     case 'event':
-      logger.warn(context, messageOf(entry));
+      logger.warn(context, MESSAGE_FORMAT, message);
       break;
     case 'routing':
     case 'placement':
@@ -60,7 +67,7 @@
     case 'refusal':
     case 'entry-answer':
     case 'decision':
-      logger.info(context, messageOf(entry));
+      logger.info(context, MESSAGE_FORMAT, message);
       break;
   }
 }
@@ -72,11 +79,15 @@
  * Enables logging and opens the log of one node.
  *
  * @param node - name of the node, which is part of every line
- * @returns the log, which writes JSON lines to standard output
+ * @param output - destination of the JSON lines, which the first log of the process determines
+ * @returns the log
  */
-export function openLog(node: string): Log & { readonly flush: () => void } {
+export function openLog(
+  node: string,
+  output: LineOutput = process.stdout,
+): Log & { readonly flush: () => void } {
   const logger = Roarr.child({ application: 'almondhoist', node });
-  buffer ??= new LineBuffer(process.stdout, (lines) =>
+  buffer ??= new LineBuffer(output, (lines) =>
     writeEntry(logger, { kind: 'event', code: 'linesLost', details: { lines } }),
   );
   const lines = buffer;
