Crash two of four servers in review case 7, so that it fails each time

Two servers of the same service also were fewer than the share of crashes allows for.

Change: two of four servers crash, one after the other.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,4 +1,5 @@
-// A server crashes once while equal calls run on it, and the requests that need such a call later.
+// Two servers crash, one after the other, while equal calls run on them, and the requests that need such a
+// call later.
 import { writeFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { call } from '../lib-2/client.mjs';
@@ -8,14 +9,15 @@
 const isTrouble = process.env.TROUBLE !== '0';
 const HOST = 'hulo84.example';
 const ROUTE_ADDED_AT_MS = 3000;
-const CRASH_AT_MS = 12_000;
+/** When two of the four servers of a service crash, one each time. */
+const CRASHES_AT_MS = [12_000, 21_000];
 const DOWN_MS = 4500;
 const WARM_UP_MS = 3000;
-/** Some time after the crash: the server is back and warm, and `touch` has passed. */
-const STEADY_AT_MS = 30_000;
-const LENGTH_MS = 55_000;
-const STOCK_PER_S = 50;
-const ORDERS_PER_S = 50;
+/** Some time after the crashes: the servers are back and warm, and `touch` has passed. */
+const STEADY_AT_MS = 36_000;
+const LENGTH_MS = 60_000;
+const STOCK_PER_S = 40;
+const ORDERS_PER_S = 200;
 const CALLS_PER_ORDER = 4;
 
 const record = [];
@@ -100,8 +102,10 @@
 
 async function main() {
   const deployment = await Deployment.create([
-    { name: 'dispatch-1', service: 'dispatch', zone: 'lowland-a', slots: 20, workMs: 22 },
-    { name: 'dispatch-2', service: 'dispatch', zone: 'lowland-b', slots: 20, workMs: 22 },
+    { name: 'dispatch-1', service: 'dispatch', zone: 'lowland-a', slots: 20, workMs: 30 },
+    { name: 'dispatch-2', service: 'dispatch', zone: 'lowland-b', slots: 20, workMs: 30 },
+    { name: 'dispatch-3', service: 'dispatch', zone: 'lowland-a', slots: 20, workMs: 30 },
+    { name: 'dispatch-4', service: 'dispatch', zone: 'lowland-b', slots: 20, workMs: 30 },
     { name: 'orderdesk-1', service: 'orderdesk', zone: 'lowland-a', slots: 150, workMs: 120 },
     { name: 'orderdesk-2', service: 'orderdesk', zone: 'lowland-b', slots: 150, workMs: 120 },
     { name: 'stockroom-1', service: 'stockroom', zone: 'lowland-a', slots: 120, workMs: 90 },
@@ -151,24 +155,24 @@
       store.put('op/config', configuration(12, [stockRoute, slotRoute, orderRoute]));
       log(`${now()} ms: version 12 adds the route of orders`);
     }, ROUTE_ADDED_AT_MS);
-    if (isTrouble) {
-      setTimeout(() => {
-        const [crashed] = servers;
-        log(`${now()} ms: dispatch-1 crashes with ${crashed.running} requests`);
-        entries[0].stop();
-        crashed.close();
-        setTimeout(async () => {
-          crashed.born = Date.now();
-          crashed.becomeCold(WARM_UP_MS);
-          await crashed.listen(ports.app, machines[0].ip);
-          entries[0] = deployment.announce(machines[0], crashed);
-          log(`${now()} ms: dispatch-1 is back`);
-        }, DOWN_MS);
-      }, CRASH_AT_MS);
-    }
+    const crash = (index) => {
+      const server = servers[index];
+      const { name, ip } = machines[index];
+      log(`${now()} ms: ${name} crashes with ${server.running} requests`);
+      entries[index].stop();
+      server.close();
+      setTimeout(async () => {
+        server.born = Date.now();
+        server.becomeCold(WARM_UP_MS);
+        await server.listen(ports.app, ip);
+        entries[index] = deployment.announce(machines[index], server);
+        log(`${now()} ms: ${name} is back`);
+      }, DOWN_MS);
+    };
+    if (isTrouble) CRASHES_AT_MS.forEach((at, index) => setTimeout(() => crash(index), at));
     const stock = new Tally('steady: first route, stock');
     const orders = new Tally('steady: later route, orders');
-    const before = new Tally('before the crash: later route, orders');
+    const before = new Tally('before the crashes: later route, orders');
     const calls = [];
     const send = ({ ip }, path, method, tally) =>
       calls.push(
@@ -176,15 +180,15 @@
           tally?.add(seen),
         ),
       );
-    const front = machines.slice(4);
+    const front = machines.slice(6);
     const perS = STOCK_PER_S + ORDERS_PER_S;
     for (let sent = 0; now() < LENGTH_MS; sent += 1) {
       phase.isSteady = now() >= STEADY_AT_MS;
       const { isSteady } = phase;
-      const machine = front[Math.floor(sent / 2) % front.length];
-      if (sent % 2 === 0) send(machine, `/stock/${sent}`, 'GET', isSteady ? stock : null);
+      const machine = front[Math.floor(sent / 6) % front.length];
+      if (sent % 6 === 0) send(machine, `/stock/${sent}`, 'GET', isSteady ? stock : null);
       else if (now() >= ROUTE_ADDED_AT_MS + 3000) {
-        const early = now() < CRASH_AT_MS - 1000 ? before : null;
+        const early = now() < CRASHES_AT_MS[0] - 1000 ? before : null;
         send(machine, `/order/${sent}`, 'POST', isSteady ? orders : early);
       }
       // eslint-disable-next-line no-await-in-loop
