Show that a node sends to a server that has left after an outage (review case 9)

Cause: a node holds each removal back for 2.2 s that it reads within 2.2 s after it has regained the store, which can be 4 s after it is served again.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -45,7 +45,7 @@
 }
 
 function settingsOf(machine, { ports, storeAddress, seeds }) {
-  const { name, ip, zone, service, memoryMb = 350 } = machine;
+  const { name, ip, zone, service, memoryMb = 350, storePort } = machine;
   return `nodeName = "${name}"
 role = "node"
 nodeClass = "sidecar"
@@ -66,6 +66,7 @@
 [zones]
 lowland-a = "lowland"
 lowland-b = "lowland"
+highland-a = "lowland"
 [listen]
 inbound = "${ip}:${ports.inbound}"
 outbound = "${ip}:${ports.outbound}"
@@ -107,7 +108,7 @@
 evacuate = "5000ms"
 recover = "15s"
 [platform]
-address = "${storeAddress}"
+address = "${storePort === undefined ? storeAddress : `${ip}:${storePort}`}"
 form = "read"
 writesPerS = 400
 readsPerS = 2000
@@ -130,6 +131,8 @@
 
   #nodes = new Map();
 
+  #doors = [];
+
   /**
    * @param machines - name, zone and service of each machine
    */
@@ -159,6 +162,17 @@
     return deployment;
   }
 
+  /** Gives a machine an address of its own for the store, which turns it away on demand. */
+  async openDoor(machine) {
+    const door = { isShut: false };
+    const server = this.store.createDoor(() => door.isShut);
+    server.listen(this.ports.store, machine.ip);
+    await once(server, 'listening');
+    Object.assign(machine, { storePort: this.ports.store });
+    this.#doors.push(server);
+    return door;
+  }
+
   /** Announces a server in the store and renews its entry. */
   announce(machine, server) {
     let sequence = 0;
@@ -251,8 +265,10 @@
         return ended;
       }),
     );
-    this.store.server.closeAllConnections();
-    this.store.server.close();
+    [this.store.server, ...this.#doors].forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
     await rm(this.#directory, { recursive: true, force: true });
   }
 }
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -26,6 +26,15 @@
     this.server.keepAliveTimeout = 60_000;
   }
 
+  /** Opens a further address, whose callers get no answer while `isSilent` says so. */
+  createDoor(isSilent) {
+    const server = createServer((request, response) => {
+      if (!isSilent()) this.#handle(request, response);
+    });
+    server.keepAliveTimeout = 60_000;
+    return server;
+  }
+
   get revision() {
     return this.#revision;
   }
