Date the return of the store in time for the removals that follow it

Callers: where the store had answered no node of a fleet, requests could reach a backend server up to 3.3 s after the removal of its entry; the bound is 2 s.

Cause: entries that expired in an outage are back within about 2 s of its end, so removals are held back for 2.2 s. Without a node that had an unbroken view, that time counts from the first answer that any node got. A call without an answer takes 1.2 s and the pause behind it took up to 3 s, so the first answer came up to 4.2 s after the return, and the hold ended with a watch that took up to 1 s more.

Change: the pause after failed calls is 1.2 s at most, and a reader that holds an entry waits in its watch no longer than until the end of the hold. The pause and the wait are decisions of their own. The wait is a whole number of milliseconds now, as the store asks; it could be a fraction while changes went on.

A node in an outage calls the store about every 2 s now, before about every 3.2 s.

--- a/src/core/publications/published-view.ts
+++ b/src/core/publications/published-view.ts
@@ -124,6 +124,16 @@
   return isRecent(view, now) && view.answeredAt - view.answeredSince >= LAPSE_HOLD_MS;
 }
 
+/**
+ * Finds the instant at which removals that are held back may take effect.
+ *
+ * @param view - the view of the node
+ * @returns the instant, or null when no entry is held
+ */
+export function findHoldEnd({ heldEntries, storeBackAt }: PublishedView): Instant | null {
+  return heldEntries.size === 0 ? null : storeBackAt + LAPSE_HOLD_MS;
+}
+
 /**
  * Lists the values in force: those of the mirror and the held entries.
  *
--- a/src/core/publications/read-pace.ts
+++ b/src/core/publications/read-pace.ts
@@ -18,6 +18,9 @@
 const CALLS_PER_SECOND = 5;
 const BURST_CALLS = 20;
 
+/** The store answers a call without a wait before there is a change. */
+const SHORTEST_WAIT_MS: Milliseconds = 1;
+
 const MS_PER_SECOND = 1000;
 
 /** Calls to the store that a reader may still make, as of an instant. */
@@ -44,12 +47,20 @@
  *
  * @param before - the pace so far
  * @param now - the instant of the answer
- * @returns the next pace, the pause and the wait
+ * @param answerDueAt - instant at which an answer is needed in any case, or null
+ * @returns the next pace, the pause and the wait, which is a whole number
  */
-export function paceNextRead(before: ReadPace, now: Instant): ReadDelay {
+export function paceNextRead(
+  before: ReadPace,
+  now: Instant,
+  answerDueAt: Instant | null,
+): ReadDelay {
   const gained = ((now - before.asOf) / MS_PER_SECOND) * CALLS_PER_SECOND;
   const calls = Math.min(BURST_CALLS, before.calls + gained) - 1;
   const lackMs = (Math.max(0, -calls) / CALLS_PER_SECOND) * MS_PER_SECOND;
   const pauseMs = Math.max(SHORTEST_PAUSE_MS, lackMs);
-  return { pace: { calls, asOf: now }, pauseMs, waitMs: CYCLE_MS - pauseMs };
+  const fullWaitMs = Math.floor(CYCLE_MS - pauseMs);
+  const dueMs = answerDueAt === null ? fullWaitMs : Math.ceil(answerDueAt - now - pauseMs);
+  const waitMs = Math.max(SHORTEST_WAIT_MS, Math.min(fullWaitMs, dueMs));
+  return { pace: { calls, asOf: now }, pauseMs, waitMs };
 }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -8,6 +8,7 @@
 import type { Publication, PublishedValue } from '../core/publications/publication.js';
 import {
   createViewDecision,
+  findHoldEnd,
   initialView,
   isSettled,
   publicationsInForce,
@@ -18,6 +19,7 @@
   type ViewMessage,
 } from '../core/publications/published-view.js';
 import { FULL_WAIT_MS, initialPace, paceNextRead } from '../core/publications/read-pace.js';
+import { retryPause } from '../core/publications/read-retry.js';
 import type { Source } from '../core/publications/source.js';
 import type { StoreReader, StoreReply } from '../core/publications/store-reply.js';
 import type { PublicationStatus } from '../core/exchange/mesh-frame.js';
@@ -48,10 +50,6 @@
 /** Wait of the first call of a node that replaces its reader; the other followers wait for it. */
 const FIRST_WAIT_MS: Milliseconds = 1;
 
-/** Exponential backoff after failed calls: first and longest pause, before jitter of ±50%. */
-const RETRY_MIN_MS: Milliseconds = 200;
-const RETRY_MAX_MS: Milliseconds = 2000;
-
 /**
  * A watch that fails before this time on top of its wait was cut or refused; one that fell silent is
  * given up later. The store may cut a watch while it answers all other calls.
@@ -227,16 +225,15 @@
       case 'history-lost':
         return 0;
       case 'changes': {
-        const { pace, pauseMs, waitMs } = paceNextRead(this.#pace, this.#options.clock.now());
+        const holdEndsAt = findHoldEnd(this.#view.state);
+        const now = this.#options.clock.now();
+        const { pace, pauseMs, waitMs } = paceNextRead(this.#pace, now, holdEndsAt);
         this.#pace = pace;
         this.#watchWaitMs = waitMs;
         return pauseMs;
       }
-      case 'unavailable': {
-        const doublings = Math.max(0, this.#failures - 1);
-        const pauseMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** doublings);
-        return pauseMs * (0.5 + this.#options.random());
-      }
+      case 'unavailable':
+        return retryPause(this.#failures, this.#options.random());
     }
   }
 
--- a/test/core/publications/read-pace.test.ts
+++ b/test/core/publications/read-pace.test.ts
@@ -13,7 +13,7 @@
   for (let now = 0; now < endAt;) {
     calls.push(now);
     now += answerMs(waitMs);
-    const next = paceNextRead(pace, now);
+    const next = paceNextRead(pace, now, null);
     pace = next.pace;
     waitMs = next.waitMs;
     now += next.pauseMs;
@@ -31,7 +31,7 @@
 
 test('a change that follows another one is read within a twentieth of a second', () => {
   // Guards against the full load on a server that becomes cold just after another change.
-  const { pauseMs } = paceNextRead(paceNextRead(initialPace, 0).pace, 10);
+  const { pauseMs } = paceNextRead(paceNextRead(initialPace, 0, null).pace, 10, null);
   assert.ok(pauseMs <= 50, `${pauseMs} ms`);
 });
 
