Close connections unread that have waited too long to be accepted

Cause: the event loop (libuv 1.46 of Node.js 20) accepts one connection in each turn, the oldest first. A saturated node falls behind until each connection that it accepts belongs to a caller that has left; it then spends its time on those and stays behind after the load has fallen. In the logs: lines `cancelledRunning` with no send, as many as requests, and timers that are hardly late.

A trial that queued requests after they had been read and handled the newest first changed nothing and is not kept: what is late has not been accepted.

Change: while every poll finds a new connection for 500 ms, the oldest that waits may be as old as that. The node then closes new connections unread (`maxConnections`) until a poll finds none, for 500 ms at most, and logs [4227] with their number. The own interface had the same fault and uses the same task.

--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -632,6 +632,13 @@
     message: 'responses had to be given up: the backend server {instance} {state}',
     hint: 'Look for [3004] and [3012] at stage `gate`; they say what its responses cost.',
   },
+  acceptsBehind: {
+    number: 4227,
+    title: 'New connections closed unread',
+    message:
+      'new connections waited too long to be accepted; {dropped} were closed unread in {tookMs} ms',
+    hint: 'The processor of the node is saturated: look at its utilization and at other work on the host.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/runtime/caller-listener.ts
+++ b/src/runtime/caller-listener.ts
@@ -9,11 +9,12 @@
 import type { Duplex } from 'node:stream';
 import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
-import { getResultCode } from '../core/errors/registry.js';
+import { getResultCode, type Details } from '../core/errors/registry.js';
 import type { Header } from '../core/model/call.js';
 import type { RequestId } from '../core/model/names.js';
 import type { Clock } from '../core/model/time.js';
 import type { RawRequest } from '../core/pipeline/request-stages.js';
+import { AcceptTask } from './accept-task.js';
 import { BodyBuffer } from './body-buffer.js';
 import type { EntryReply } from './entry-task.js';
 import type { TlsMaterial } from './tls-material.js';
@@ -39,6 +40,8 @@
   readonly maxBodyBytes: number;
   /** @returns whether the node is stopping; connections then close after their next answer */
   readonly isStopping: () => boolean;
+  /** Called after new connections were closed unread, since they had waited for too long. */
+  readonly onConnectionsDropped: (details: Details) => void;
 }
 
 type CallerContext = Context<{ Bindings: HttpBindings }>;
@@ -142,6 +145,8 @@
         ? createHttpServer(settings, listener)
         : createHttpsServer({ ...settings, cert: tls.cert, key: tls.key }, listener);
     this.server.maxRequestsPerSocket = MAX_REQUESTS_PER_SOCKET;
+    const { clock, onConnectionsDropped: onDropped } = options;
+    new AcceptTask({ server: this.server, clock, onDropped }).start();
     this.server.on('request', (incoming, outgoing) => this.#trackRequest(incoming, outgoing));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
       this.#refuseUnparsed(error, socket),
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -377,6 +377,8 @@
       maxBodyBytes: this.#settings.maxBodyBytes,
       ...this.requestHandlers,
       isStopping: () => this.#isStopping,
+      onConnectionsDropped: (details) =>
+        this.#log.write({ kind: 'event', code: 'acceptsBehind', details }),
     });
   }
 
--- a/src/sidecar/request-listener.ts
+++ b/src/sidecar/request-listener.ts
@@ -1,11 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import type { CodeName } from '../core/errors/registry.js';
+import type { CodeName, Details } from '../core/errors/registry.js';
 import type { Dialect } from '../core/exchange/dialect.js';
 import type { IncomingHead, IncomingRequest } from '../core/exchange/incoming-request.js';
 import type { Clock, Instant, Milliseconds } from '../core/model/time.js';
 import type { CallerLimits } from '../core/policy/policy.js';
+import { AcceptTask } from '../runtime/accept-task.js';
 import { AnswerBuffer } from './answer-buffer.js';
 import { CallerConnection } from './caller-connection.js';
 import type { Exchange } from './entry-task.js';
@@ -38,8 +39,8 @@
   readonly isStopping: () => boolean;
   /** Called when a request is refused before it was read completely. */
   readonly onUnreadRefusal: (code: CodeName) => void;
-  /** Called when a connection is closed to keep a limit of the node. */
-  readonly onConnectionClosed: (code: CodeName) => void;
+  /** Called when connections are closed to keep a limit of the node. */
+  readonly onConnectionClosed: (code: CodeName, details: Details) => void;
 }
 
 const EMPTY_BODY = new Uint8Array();
@@ -96,6 +97,9 @@
       (request, response) => this.#receive(request, response),
     );
     this.server.on('connection', (socket: Socket) => this.#open(socket));
+    const onDropped = (details: Details): void =>
+      options.onConnectionClosed('acceptsBehind', details);
+    new AcceptTask({ server: this.server, clock, onDropped }).start();
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseUnread(error, socket),
     );
@@ -142,7 +146,7 @@
       conditions: () => ({ isHeld: isHeld(), isStopping: isStopping() }),
       handle: (request, answer) => this.#handle(request, answer),
       unreadAnswers: this.#unreadAnswers,
-      onUnread: () => onConnectionClosed('answerUnread'),
+      onUnread: () => onConnectionClosed('answerUnread', {}),
     });
     this.#connections.set(socket, connection);
     socket.once('close', () => this.#connections.delete(socket));
@@ -162,7 +166,7 @@
     if (longest === null) return;
     longest.socket.destroy();
     this.#connections.delete(longest.socket);
-    this.#options.onConnectionClosed('connectionsExceeded');
+    this.#options.onConnectionClosed('connectionsExceeded', {});
   }
 
   #receive(request: IncomingMessage, response: ServerResponse): void {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -325,7 +325,7 @@
       isHeld: () => this.#pauseWatch.check(),
       isStopping: () => this.#plannedStop !== null,
       onUnreadRefusal: (code) => this.#metrics.entryAnswers.inc({ code }),
-      onConnectionClosed: (code) => this.#reportEvent(code, {}),
+      onConnectionClosed: this.#reportEvent,
     });
   }
 
--- a/test/runtime/caller-listener.test.ts
+++ b/test/runtime/caller-listener.test.ts
@@ -33,6 +33,7 @@
     issueOrder: unexpected,
     onAbandoned: () => {},
     isStopping: () => false,
+    onConnectionsDropped: () => {},
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/test/runtime/small-chunks.test.ts
+++ b/test/runtime/small-chunks.test.ts
@@ -25,6 +25,7 @@
     issueOrder: unexpected,
     onAbandoned: () => {},
     isStopping: () => false,
+    onConnectionsDropped: () => {},
   });
   t.after(() => {
     server.close();
--- a/test/sidecar/front-end.ts
+++ b/test/sidecar/front-end.ts
@@ -44,9 +44,13 @@
  * Starts a listener whose requests are answered by the test.
  *
  * @param context - the test
+ * @param options - what the test does with a request when it is handled
  * @returns the listener, and what it handled and cancelled
  */
-export async function startFrontEnd(context: TestContext): Promise<FrontEnd> {
+export async function startFrontEnd(
+  context: TestContext,
+  { onHandled = () => {} }: { readonly onHandled?: (path: string) => void } = {},
+): Promise<FrontEnd> {
   const handled: string[] = [];
   const cancelled: string[] = [];
   const pending = new Map<string, AnswerHandler>();
@@ -59,6 +63,7 @@
   ): Exchange => {
     handled.push(path);
     pending.set(path, answer);
+    setImmediate(() => onHandled(path));
     return { cancel: () => cancelled.push(path) };
   };
   const listener = new RequestListener({
