--- a/src/core/errors/registry.ts
+++ b/src/core/errors/registry.ts
@@ -639,6 +639,18 @@
       'new connections waited too long to be accepted; {dropped} were closed unread in {tookMs} ms',
     hint: 'The processor of the node is saturated: look at its utilization and at other work on the host.',
   },
+  outageAsked: {
+    number: 4228,
+    title: 'Peers asked about a store outage',
+    message: 'peers asked since when the store has answered them, in round {round}: {peers}',
+    hint: 'Nothing to do; a round follows every 0.2 s while an entry is kept.',
+  },
+  lapseEnded: {
+    number: 4229,
+    title: 'Removed entry kept no longer',
+    message: 'the entry {key} was kept for {heldMs} ms after its removal was read: {reason}',
+    hint: 'Nothing to do; requests go to the backend server again only if it has registered.',
+  },
   chosenInZone: {
     number: 5001,
     title: 'Chosen in the local availability zone',
--- a/src/core/publications/published-view.ts
+++ b/src/core/publications/published-view.ts
@@ -24,6 +24,23 @@
  */
 const SHORTEST_LAPSE_MS: Milliseconds = 2500;
 
+/** An entry that stays in force although it was removed. */
+export interface HeldEntry {
+  readonly publication: Publication;
+  readonly heldSince: Instant;
+}
+
+/** Why a held entry is held no longer. */
+export type HoldEnd =
+  /** Its backend server has registered it again. */
+  | { readonly kind: 'registered' }
+  /** The store has answered for long enough after its return. */
+  | { readonly kind: 'store-answered' }
+  /** A peer that has read the store without a gap has seen the removal. */
+  | { readonly kind: 'confirmed' }
+  /** The store has answered a peer for this time, so it had no outage before the removal. */
+  | { readonly kind: 'peer-unbroken'; readonly unbrokenMs: Milliseconds };
+
 /** What a node knows of the published values, and for how long it has known them without a gap. */
 export interface PublishedView {
   readonly mirror: Mirror;
@@ -34,7 +51,7 @@
   /** Since when the store has answered any known node without such a gap. */
   readonly storeBackAt: Instant;
   /** Entries that stay in force although they were removed, by key. */
-  readonly heldEntries: ReadonlyMap<string, Publication>;
+  readonly heldEntries: ReadonlyMap<string, HeldEntry>;
 }
 
 /** Changes of published values that one node forwards to another. */
@@ -66,6 +83,13 @@
   | { readonly kind: 'view-changed' }
   /** An entry stays in force although it was removed, for at least this time. */
   | { readonly kind: 'entry-held'; readonly key: string; readonly holdMs: Milliseconds }
+  /** An entry is held no longer. */
+  | {
+      readonly kind: 'entry-released';
+      readonly key: string;
+      readonly heldMs: Milliseconds;
+      readonly end: HoldEnd;
+    }
   /** Peers have to be asked since when the store has answered them. */
   | { readonly kind: 'ask-peers' };
 
@@ -83,15 +107,14 @@
 /** Which removals are known to be more than the result of an outage. */
 type Confirmation =
   | { readonly kind: 'none' }
-  /** New removals, and held ones up to this revision. */
-  | { readonly kind: 'new-and-held'; readonly heldUpTo: number };
+  /** New removals and all held ones, as the store has answered for long enough. */
+  | { readonly kind: 'all' }
+  /** New removals, and held ones up to this revision, as a settled peer has read them. */
+  | { readonly kind: 'by-peer'; readonly heldUpTo: number };
 
 const UNCONFIRMED: Confirmation = { kind: 'none' };
 
-const ALL_CONFIRMED: Confirmation = {
-  kind: 'new-and-held',
-  heldUpTo: Number.POSITIVE_INFINITY,
-};
+const ALL_CONFIRMED: Confirmation = { kind: 'all' };
 
 function isRecent({ answeredAt }: PublishedView, now: Instant): boolean {
   return now - answeredAt < SHORTEST_LAPSE_MS;
@@ -144,9 +167,9 @@
   mirror,
   heldEntries,
 }: PublishedView): ReadonlyMap<string, Publication> {
-  return heldEntries.size === 0
-    ? mirror.publications
-    : new Map([...mirror.publications, ...heldEntries]);
+  if (heldEntries.size === 0) return mirror.publications;
+  const held = [...heldEntries].map(([key, { publication }]) => [key, publication] as const);
+  return new Map([...mirror.publications, ...held]);
 }
 
 function recordAnswer(view: PublishedView, answeredAt: Instant): PublishedView {
@@ -166,17 +189,38 @@
   return (publications.get(key)?.text ?? null) !== null;
 }
 
+/** Tells why an entry is held no longer, or null while it is held. */
+function findEnd(key: string, mirror: Mirror, confirmation: Confirmation): HoldEnd | null {
+  if (isPresent(mirror, key)) return { kind: 'registered' };
+  switch (confirmation.kind) {
+    case 'none':
+      return null;
+    case 'all':
+      return { kind: 'store-answered' };
+    case 'by-peer': {
+      const revision = mirror.publications.get(key)?.revision ?? 0;
+      return revision <= confirmation.heldUpTo ? { kind: 'confirmed' } : null;
+    }
+  }
+}
+
+interface Release {
+  readonly held: ReadonlyMap<string, HeldEntry>;
+  readonly effects: readonly ViewEffect[];
+}
+
 function releaseHeld(
-  held: ReadonlyMap<string, Publication>,
-  mirror: Mirror,
-  confirmation: Confirmation,
-): ReadonlyMap<string, Publication> {
-  if (held.size === 0) return held;
-  const heldUpTo = confirmation.kind === 'none' ? Number.NEGATIVE_INFINITY : confirmation.heldUpTo;
-  const kept = [...held].filter(
-    ([key]) => !isPresent(mirror, key) && (mirror.publications.get(key)?.revision ?? 0) > heldUpTo,
-  );
-  return kept.length === held.size ? held : new Map(kept);
+  held: ReadonlyMap<string, HeldEntry>,
+  endOf: (key: string) => HoldEnd | null,
+  now: Instant,
+): Release {
+  if (held.size === 0) return { held, effects: [] };
+  const effects = [...held].flatMap(([key, { heldSince }]): readonly ViewEffect[] => {
+    const end = endOf(key);
+    return end === null ? [] : [{ kind: 'entry-released', key, heldMs: now - heldSince, end }];
+  });
+  if (effects.length === 0) return { held, effects };
+  return { held: new Map([...held].filter(([key]) => endOf(key) === null)), effects };
 }
 
 function findRemovedEntries(
@@ -198,16 +242,21 @@
   isEntry: (publication: Publication) => boolean,
   now: Instant,
 ): ViewStep {
-  const kept = releaseHeld(view.heldEntries, mirror, confirmation);
+  const endOf = (key: string): HoldEnd | null => findEnd(key, mirror, confirmation);
+  const { held: kept, effects } = releaseHeld(view.heldEntries, endOf, now);
   const removed =
     confirmation.kind === 'none' ? findRemovedEntries(view.mirror, mirror, isEntry) : [];
-  const heldEntries = removed.length === 0 ? kept : new Map([...kept, ...removed]);
+  const added = removed.map(
+    ([key, publication]) => [key, { publication, heldSince: now }] as const,
+  );
+  const heldEntries = removed.length === 0 ? kept : new Map([...kept, ...added]);
   const next: PublishedView = { ...view, mirror, heldEntries };
   const isUnchanged =
     mirror.publications === view.mirror.publications && heldEntries === view.heldEntries;
   const holdMs = Math.max(0, view.storeBackAt + LAPSE_HOLD_MS - now);
   return step<PublishedView, ViewEffect>(
     next,
+    ...effects,
     ...removed.map(([key]): ViewEffect => ({ kind: 'entry-held', key, holdMs })),
     ...(isUnchanged ? [] : [{ kind: 'view-changed' } as const]),
     ...(view.heldEntries.size === 0 && removed.length > 0 ? [{ kind: 'ask-peers' } as const] : []),
@@ -234,7 +283,7 @@
   const hasGap = changes.since !== undefined && changes.since > view.mirror.revision;
   const confirmation: Confirmation =
     own.kind === 'none' && changes.isSettled
-      ? { kind: 'new-and-held', heldUpTo: hasGap ? 0 : changes.revision }
+      ? { kind: 'by-peer', heldUpTo: hasGap ? 0 : changes.revision }
       : own;
   return replaceMirror(view, mirror, confirmation, isEntry, now);
 }
@@ -249,10 +298,14 @@
   const storeBackAt = Math.min(before.storeBackAt, now - unbrokenMs);
   const view = { ...before, storeBackAt };
   if (view.heldEntries.size === 0 || !isConclusive(view)) return step(view);
-  return step<PublishedView, ViewEffect>(
-    { ...view, heldEntries: new Map() },
-    { kind: 'view-changed' },
+  const { held, effects } = releaseHeld(
+    view.heldEntries,
+    () => ({ kind: 'peer-unbroken', unbrokenMs }),
+    now,
   );
+  return step<PublishedView, ViewEffect>({ ...view, heldEntries: held }, ...effects, {
+    kind: 'view-changed',
+  });
 }
 
 /**
--- a/src/sidecar/control-path.ts
+++ b/src/sidecar/control-path.ts
@@ -100,9 +100,11 @@
   }
 
   #askPeers(round: number): void {
-    const { peers, sendFrame } = this.#options;
+    const { peers, sendFrame, report } = this.#options;
     const { status } = this.publications;
-    peers.listSpread(round).forEach((address) => {
+    const asked = peers.listSpread(round);
+    report('outageAsked', { peers: asked.join(', ') || 'none', round });
+    asked.forEach((address) => {
       sendFrame(address, { kind: 'status', ...status, asksUnbroken: true });
     });
   }
--- a/src/sidecar/publication-task.ts
+++ b/src/sidecar/publication-task.ts
@@ -13,6 +13,7 @@
   isSettled,
   publicationsInForce,
   unbrokenTime,
+  type HoldEnd,
   type PublishedChanges,
   type PublishedView,
   type ViewEffect,
@@ -75,6 +76,19 @@
   /** The store has answered a peer for this time without a gap in which entries may expire. */
   | { readonly kind: 'peer-unbroken'; readonly unbrokenMs: Milliseconds };
 
+function describeHoldEnd(end: HoldEnd): string {
+  switch (end.kind) {
+    case 'registered':
+      return 'its backend server has registered again';
+    case 'store-answered':
+      return 'the store has answered for long enough';
+    case 'confirmed':
+      return 'a peer without an outage has read the removal';
+    case 'peer-unbroken':
+      return `the store has answered a peer for ${Math.round(end.unbrokenMs)} ms`;
+  }
+}
+
 /** Reads the store and owns the view of all published values. */
 export class PublicationTask {
   readonly #options: PublicationTaskOptions;
@@ -291,6 +305,12 @@
         this.#options.report('lapseHeld', { key, holdMs: Math.round(holdMs) });
         break;
       }
+      case 'entry-released': {
+        const { key, heldMs, end } = effect;
+        const reason = describeHoldEnd(end);
+        this.#options.report('lapseEnded', { key, heldMs: Math.round(heldMs), reason });
+        break;
+      }
       case 'ask-peers':
         this.#askPeers();
         break;
--- a/test/core/publications/published-view.test.ts
+++ b/test/core/publications/published-view.test.ts
@@ -75,10 +75,31 @@
     [[REGAINED_AT + 5, { kind: 'peer-unbroken', unbrokenMs: 60_000 }]],
     regained.view,
   );
-  assert.deepEqual(effects, ['view-changed']);
+  assert.deepEqual(effects, ['entry-released', 'view-changed']);
   assert.ok(!isInForce(view));
 });
 
+test('the end of a hold tells why it ended', () => {
+  // Guards against a late removal whose cause the log cannot tell.
+  const endOf = (at: Instant, message: ViewMessage): unknown =>
+    decide(regained.view, message, at).effects.flatMap((effect) =>
+      effect.kind === 'entry-released' ? [[effect.end.kind, effect.heldMs]] : [],
+    );
+  const at = REGAINED_AT + HOLD_MS;
+  const back: ViewMessage = { kind: 'changed', changes: [BACK], asOf: 7 };
+  assert.deepEqual(endOf(at, { ...UNCHANGED }), [['store-answered', HOLD_MS]]);
+  assert.deepEqual(endOf(at, back), [['registered', HOLD_MS]]);
+  const unbroken: ViewMessage = { kind: 'peer-unbroken', unbrokenMs: 60_000 };
+  assert.deepEqual(endOf(REGAINED_AT + 5, unbroken), [['peer-unbroken', 5]]);
+  const settled: ViewMessage = {
+    kind: 'peer-changed',
+    changes: [REMOVED],
+    revision: 6,
+    isSettled: true,
+  };
+  assert.deepEqual(endOf(REGAINED_AT + 5, settled), [['confirmed', 5]]);
+});
+
 test('the hold counts from the first answer that any node got after the outage', () => {
   // Guards against a node that holds a removal the longer the later it regained the store itself.
   const backAgoMs = 1500;
