Measure how long connections wait before they are closed unread

Callers: with a saturated node closed connections that had hardly waited.

Cause: that each poll finds a connection bounds their wait from above only, and each connection cost two polls of the loop.

Change: while the processor is saturated, the node opens a connection to its own listening socket, at most one in 100 ms. If it is not accepted after 500 ms, new connections are closed unread until a poll finds none. The limit is one that any number of connections exceeds. Without saturation nothing is polled.

--- a/src/core/dispatch/processor-limit.ts
+++ b/src/core/dispatch/processor-limit.ts
@@ -28,7 +28,7 @@
  * Utilization from which the processor counts as saturated: requests wait unread in the sockets of
  * the node, where neither their rank nor their deadline counts.
  */
-const SATURATED_UTILIZATION = 0.95;
+export const SATURATED_UTILIZATION = 0.95;
 
 /** Utilization below which the limit rises again. */
 const RELAXED_UTILIZATION = 0.85;
--- a/src/core/exchange/accept-backlog.ts
+++ b/src/core/exchange/accept-backlog.ts
@@ -1,36 +1,46 @@
 import type { Instant, Milliseconds } from '../model/time.js';
 import { step, type Decision, type Step } from '../task/decision.js';
 
-/** Connections that callers have opened and the node has not accepted, as far as it can tell. */
+/** Whether new connections of callers are taken, and for how long they wait. */
 export type AcceptBacklog =
-  /** The last poll of the listening socket found no connection. */
-  | { readonly kind: 'empty' }
-  /** Each poll has found a connection since some instant, so one that waits may be as old as that. */
-  | { readonly kind: 'filled'; readonly since: Instant; readonly hasNew: boolean }
+  /** How long connections wait is not measured before an instant. */
+  | { readonly kind: 'accepting'; readonly probeFrom: Instant }
+  /** A connection of the node itself waits behind those of callers since some instant. */
+  | { readonly kind: 'probing'; readonly since: Instant }
   /** New connections are closed unread until a poll finds none. */
   | {
       readonly kind: 'dropping';
       readonly since: Instant;
       readonly dropped: number;
+      /** Whether a connection was found since the last poll. */
       readonly hasNew: boolean;
     };
 
 /** Events of a listening socket. */
 export type AcceptMessage =
-  | { readonly kind: 'accepted' }
+  /** A connection was accepted; the processor may have had no time to spare lately. */
+  | { readonly kind: 'accepted'; readonly isSaturated: boolean }
+  /** The node accepted its own connection. */
+  | { readonly kind: 'probe-accepted' }
   | { readonly kind: 'dropped' }
   /** The socket has been polled since the last effect `poll`. */
   | { readonly kind: 'polled' };
 
 /** What the owner of the listening socket has to do. */
 export type AcceptEffect =
-  /** Poll the sockets once, without waiting. */
-  | { readonly kind: 'poll' }
+  /** Open a connection to the listening socket. */
+  | { readonly kind: 'probe' }
+  | { readonly kind: 'close-probe' }
   /** Close new connections as soon as they are accepted. */
   | { readonly kind: 'drop' }
+  /** Poll the sockets once, without waiting. */
+  | { readonly kind: 'poll' }
   /** Take new connections again. */
   | { readonly kind: 'accept'; readonly dropped: number; readonly tookMs: Milliseconds };
 
+/** Shortest time between two measurements of how long connections wait. */
+const PROBE_INTERVAL_MS: Milliseconds = 100;
+
 /**
  * Longest time for which a connection may wait to be accepted. Callers of the platform give an
  * attempt up when a node has not read it after 1 s or a third of their time, and nested calls may
@@ -42,28 +52,48 @@
 const MAX_DROP_MS: Milliseconds = 500;
 
 /** Backlog of a node that has accepted no connection. */
-export const emptyBacklog: AcceptBacklog = { kind: 'empty' };
+export const emptyBacklog: AcceptBacklog = {
+  kind: 'accepting',
+  probeFrom: Number.NEGATIVE_INFINITY,
+};
+
+type AcceptStep = Step<AcceptBacklog, AcceptEffect>;
 
-const POLL: AcceptEffect = { kind: 'poll' };
+function accepting(now: Instant): AcceptBacklog {
+  return { kind: 'accepting', probeFrom: now + PROBE_INTERVAL_MS };
+}
 
-function recordPoll(before: AcceptBacklog, now: Instant): Step<AcceptBacklog, AcceptEffect> {
+function recordAccept(before: AcceptBacklog, isSaturated: boolean, now: Instant): AcceptStep {
   switch (before.kind) {
-    case 'empty':
+    case 'accepting':
+      return isSaturated && now >= before.probeFrom
+        ? step<AcceptBacklog, AcceptEffect>({ kind: 'probing', since: now }, { kind: 'probe' })
+        : step(before);
+    case 'probing':
+      return now - before.since < MAX_WAIT_MS
+        ? step(before)
+        : step<AcceptBacklog, AcceptEffect>(
+            { kind: 'dropping', since: now, dropped: 0, hasNew: true },
+            { kind: 'close-probe' },
+            { kind: 'drop' },
+            { kind: 'poll' },
+          );
+    case 'dropping':
+      return step({ ...before, hasNew: true });
+  }
+}
+
+function recordPoll(before: AcceptBacklog, now: Instant): AcceptStep {
+  switch (before.kind) {
+    case 'accepting':
+    case 'probing':
       return step(before);
-    case 'filled': {
-      if (!before.hasNew) return step(emptyBacklog);
-      if (now - before.since < MAX_WAIT_MS) return step({ ...before, hasNew: false }, POLL);
-      const dropping: AcceptBacklog = { kind: 'dropping', since: now, dropped: 0, hasNew: false };
-      return step<AcceptBacklog, AcceptEffect>(dropping, { kind: 'drop' }, POLL);
-    }
     case 'dropping': {
       const { since, dropped, hasNew } = before;
       const tookMs = now - since;
-      const accept: AcceptEffect = { kind: 'accept', dropped, tookMs };
-      if (!hasNew) return step(emptyBacklog, accept);
-      return tookMs < MAX_DROP_MS
-        ? step({ ...before, hasNew: false }, POLL)
-        : step({ kind: 'filled', since: now, hasNew: false }, accept, POLL);
+      return hasNew && tookMs < MAX_DROP_MS
+        ? step<AcceptBacklog, AcceptEffect>({ ...before, hasNew: false }, { kind: 'poll' })
+        : step<AcceptBacklog, AcceptEffect>(accepting(now), { kind: 'accept', dropped, tookMs });
     }
   }
 }
@@ -71,10 +101,11 @@
 /**
  * Decides whether new connections are taken. The event loop accepts one connection in each turn, the
  * oldest first. A node whose processor is saturated falls behind until it only accepts connections
- * whose callers have left, and answers nobody. It closes those connections unread instead, which is
- * cheap and lets the callers try again at once, and goes on with new ones.
+ * whose callers have left, and answers nobody. It measures how long connections wait by one of its
+ * own, and closes those that have waited for too long unread. That is cheap, and lets their callers
+ * try again at once.
  *
- * @param before - what is known of the backlog
+ * @param before - whether connections are taken
  * @param message - what happened
  * @param now - the current instant
  * @returns the next state, and what to do
@@ -86,9 +117,11 @@
 ) => {
   switch (message.kind) {
     case 'accepted':
-      return before.kind === 'empty'
-        ? step<AcceptBacklog, AcceptEffect>({ kind: 'filled', since: now, hasNew: true }, POLL)
-        : step<AcceptBacklog, AcceptEffect>({ ...before, hasNew: true });
+      return recordAccept(before, message.isSaturated, now);
+    case 'probe-accepted':
+      return before.kind === 'probing'
+        ? step<AcceptBacklog, AcceptEffect>(accepting(now), { kind: 'close-probe' })
+        : step<AcceptBacklog, AcceptEffect>(before);
     case 'dropped':
       return before.kind === 'dropping'
         ? step<AcceptBacklog, AcceptEffect>({
--- a/src/runtime/accept-task.ts
+++ b/src/runtime/accept-task.ts
@@ -1,4 +1,5 @@
-import type { Server } from 'node:net';
+import { performance, type EventLoopUtilization } from 'node:perf_hooks';
+import { connect, type Server, type Socket } from 'node:net';
 import {
   decideAccepts,
   emptyBacklog,
@@ -7,7 +8,8 @@
   type AcceptMessage,
 } from '../core/exchange/accept-backlog.js';
 import type { Details } from '../core/errors/registry.js';
-import type { Clock } from '../core/model/time.js';
+import { PROCESSOR_INTERVAL_MS, SATURATED_UTILIZATION } from '../core/dispatch/processor-limit.js';
+import type { Clock, Instant } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 
 /** Options of the task. */
@@ -19,8 +21,8 @@
   readonly onDropped: (details: Details) => void;
 }
 
-/** A server takes at most one connection with this limit. */
-const DROP_LIMIT = 1;
+/** Limit that any number of open connections exceeds; Node.js 20 takes 0 as no limit. */
+const DROP_LIMIT = -1;
 
 /** Closes new connections unread while a server is too late to serve those that wait. */
 export class AcceptTask {
@@ -28,6 +30,15 @@
 
   readonly #backlog: Task<AcceptBacklog, AcceptMessage, AcceptEffect>;
 
+  /** Connection of the node to its own listening socket. */
+  #probe: Socket | null = null;
+
+  #measured: EventLoopUtilization = performance.eventLoopUtilization();
+
+  #measuredAt: Instant = Number.NEGATIVE_INFINITY;
+
+  #isSaturated = false;
+
   /**
    * @param options - the server and the clock
    */
@@ -44,10 +55,26 @@
   /** Watches the connections of the server from now on. */
   start(): void {
     const { server } = this.#options;
-    server.on('connection', () => this.#backlog.send({ kind: 'accepted' }));
+    server.on('connection', (socket: Socket) => {
+      const isProbe = this.#probe !== null && socket.remotePort === this.#probe.localPort;
+      if (isProbe) this.#backlog.send({ kind: 'probe-accepted' });
+      else this.#backlog.send({ kind: 'accepted', isSaturated: this.#measureProcessor() });
+    });
     server.on('drop', () => this.#backlog.send({ kind: 'dropped' }));
   }
 
+  /** Measures the use of the processor once in an interval. */
+  #measureProcessor(): boolean {
+    const now = this.#options.clock.now();
+    if (now - this.#measuredAt < PROCESSOR_INTERVAL_MS) return this.#isSaturated;
+    const current = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(current, this.#measured);
+    this.#isSaturated = utilization >= SATURATED_UTILIZATION;
+    this.#measured = current;
+    this.#measuredAt = now;
+    return this.#isSaturated;
+  }
+
   #perform(effect: AcceptEffect): void {
     const { server, onDropped } = this.#options;
     switch (effect.kind) {
@@ -55,6 +82,13 @@
         // Immediates run after the sockets have been polled once.
         setImmediate(() => this.#backlog.send({ kind: 'polled' }));
         break;
+      case 'probe':
+        this.#openProbe();
+        break;
+      case 'close-probe':
+        this.#probe?.destroy();
+        this.#probe = null;
+        break;
       case 'drop':
         server.maxConnections = DROP_LIMIT;
         break;
@@ -66,4 +100,13 @@
       }
     }
   }
+
+  #openProbe(): void {
+    const address = this.#options.server.address();
+    if (address === null || typeof address === 'string') return;
+    const probe = connect({ host: address.address, port: address.port });
+    // A probe that cannot connect is not accepted, which shows that connections wait too long.
+    probe.on('error', () => {});
+    this.#probe = probe;
+  }
 }
