Take the measurement of a node back once it has time to spare

Cause: a connection of the node to itself that fails is never accepted. The first connection after 500 ms or more, at any load, then began to close connections unread until a poll found none.

Change: a node that is not saturated takes the measurement back. The test failed before, with the effects of a drop in place of the end of the measurement.

--- a/src/core/exchange/accept-backlog.ts
+++ b/src/core/exchange/accept-backlog.ts
@@ -70,6 +70,10 @@
         ? step<AcceptBacklog, AcceptEffect>({ kind: 'probing', since: now }, { kind: 'probe' })
         : step(before);
     case 'probing':
+      // A probe that failed to connect is never accepted, however soon connections are.
+      if (!isSaturated) {
+        return step<AcceptBacklog, AcceptEffect>(accepting(now), { kind: 'close-probe' });
+      }
       return now - before.since < MAX_WAIT_MS
         ? step(before)
         : step<AcceptBacklog, AcceptEffect>(
--- a/src/runtime/accept-task.ts
+++ b/src/runtime/accept-task.ts
@@ -1,5 +1,7 @@
-import { performance, type EventLoopUtilization } from 'node:perf_hooks';
 import { connect, type Server, type Socket } from 'node:net';
+import { performance, type EventLoopUtilization } from 'node:perf_hooks';
+import { PROCESSOR_INTERVAL_MS, SATURATED_UTILIZATION } from '../core/dispatch/processor-limit.js';
+import type { Details } from '../core/errors/registry.js';
 import {
   decideAccepts,
   emptyBacklog,
@@ -7,8 +9,6 @@
   type AcceptEffect,
   type AcceptMessage,
 } from '../core/exchange/accept-backlog.js';
-import type { Details } from '../core/errors/registry.js';
-import { PROCESSOR_INTERVAL_MS, SATURATED_UTILIZATION } from '../core/dispatch/processor-limit.js';
 import type { Clock, Instant } from '../core/model/time.js';
 import { Task } from '../core/task/task.js';
 
@@ -105,8 +105,8 @@
     const address = this.#options.server.address();
     if (address === null || typeof address === 'string') return;
     const probe = connect({ host: address.address, port: address.port });
-    // A probe that cannot connect is not accepted, which shows that connections wait too long.
     probe.on('error', () => {});
+    probe.unref();
     this.#probe = probe;
   }
 }
--- a/test/core/exchange/accept-backlog.test.ts
+++ b/test/core/exchange/accept-backlog.test.ts
@@ -127,3 +127,10 @@
   const { effects } = decideAccepts(dropping, { kind: 'polled' }, 500);
   assert.deepEqual(effects, [{ kind: 'accept', dropped: 9, tookMs: 500 }]);
 });
+
+test('a probe that was never accepted drops no connection of a node with time to spare', () => {
+  // Guards against callers that are turned away since the node could not connect to itself.
+  const probing: AcceptBacklog = { kind: 'probing', since: 0 };
+  const { effects } = decideAccepts(probing, { kind: 'accepted', isSaturated: false }, 60_000);
+  assert.deepEqual(effects, [{ kind: 'close-probe' }]);
+});
