Judge the listener at three times its load by what it handled

It now asks that half of the requests which the listener handled in the last 3 s are answered while their callers wait.

--- a/test/sidecar/accept-backlog.test.ts
+++ b/test/sidecar/accept-backlog.test.ts
@@ -64,8 +64,11 @@
 
 test('a node with three times the connections that it can serve answers callers that still wait', async (t) => {
   // Guards against a node that accepts the oldest connections only, whose callers have left.
+  const startedAt = performance.now();
+  let handled = 0;
   const frontEnd = await startFrontEnd(t, {
     onHandled: (path) => {
+      if (performance.now() - startedAt >= LENGTH_MS - JUDGED_MS) handled += 1;
       const until = performance.now() + COST_MS;
       while (performance.now() < until);
       frontEnd.answer(path);
@@ -81,9 +84,9 @@
   const worker = new Worker(CALLERS, { eval: true, workerData });
   const [result] = (await once(worker, 'message')) as [{ judged: number; served: number }];
   await worker.terminate();
-  const possible = JUDGED_MS / COST_MS;
+  // The share does not depend on the processor time that the machine gives to the test.
   assert.ok(
-    result.served >= possible / 2,
-    `${result.served} of ${possible} that could be served, ${result.judged} sent`,
+    result.served > 0 && result.served >= handled / 2,
+    `${result.served} of ${handled} handled requests were answered in time`,
   );
 });
